--- /dev/null
+++ b/include/cornelhill/base/log.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <concepts>
+#include <string>
+#include <string_view>
+
+namespace cornelhill {
+
+// Prepares logging to standard error. Call once, before other threads start.
+// `process` is printed on every line.
+void InitLogging(const std::string& process);
+
+// One log line of key=value pairs, written when the object is destroyed:
+//   LogLine("upstream_joined").Add("service", name).Add("slots", 2);
+// A value with a space, quote or equals sign is quoted. Each line is written
+// whole; objects are not shared between threads.
+class LogLine {
+ public:
+  explicit LogLine(std::string_view event);
+  ~LogLine();
+  LogLine(const LogLine&) = delete;
+  LogLine& operator=(const LogLine&) = delete;
+
+  LogLine& Add(std::string_view key, std::string_view value);
+
+  template <std::integral T>
+  LogLine& Add(std::string_view key, T value) {
+    return this->Add(key, std::string_view(std::to_string(value)));
+  }
+
+  // Marks the line as a warning or an error.
+  LogLine& Warn();
+  LogLine& Error();
+
+ private:
+  std::string text;
+  int level = 0;
+};
+
+}  // namespace cornelhill
--- /dev/null
+++ b/include/cornelhill/base/request_key.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+
+#include "cornelhill/base/flow_key.h"
+#include "cornelhill/base/hash.h"
+#include "cornelhill/base/strong_id.h"
+
+namespace cornelhill {
+
+// Identifies one request of one use of a flow key.
+struct RequestKey {
+  FlowKey flow;
+  FlowNonce nonce;
+  RequestNumber number;
+
+  auto operator<=>(const RequestKey&) const = default;
+};
+
+}  // namespace cornelhill
+
+template <>
+struct std::hash<cornelhill::RequestKey> {
+  size_t operator()(const cornelhill::RequestKey& key) const noexcept {
+    return cornelhill::HashCombine(
+        cornelhill::HashFlow(key.flow),
+        cornelhill::HashCombine(key.nonce.Value(), key.number.Value()));
+  }
+};
--- /dev/null
+++ b/include/cornelhill/route/service_view.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cornelhill/base/flow_key.h"
+#include "cornelhill/base/strong_id.h"
+#include "cornelhill/turn/turn_rules.h"
+
+namespace cornelhill {
+
+// One upstream of a service, with the agent beside it.
+struct UpstreamInfo {
+  InstanceId instance;
+  Incarnation incarnation;
+  Endpoint agent;
+  FailureDomainId failure_domain;
+  uint32_t slots = 1;
+  uint32_t weight = 100;
+  bool draining = false;
+
+  bool operator==(const UpstreamInfo&) const = default;
+};
+
+// Everything that balancers and agents need to know of one service, at one
+// revision. Upstreams are ordered by instance id.
+struct ServiceView {
+  ServiceId id;
+  Incarnation incarnation;
+  Revision revision;
+  std::string name;
+  Endpoint address;
+  TurnRules rules;
+  std::vector<UpstreamInfo> upstreams;
+
+  bool operator==(const ServiceView&) const = default;
+};
+
+}  // namespace cornelhill
--- /dev/null
+++ b/src/wire/data_codec.cc
@@ -0,0 +1,289 @@
+#include "cornelhill/wire/data_codec.h"
+
+#include <limits>
+#include <utility>
+
+#include "data.pb.h"
+
+namespace cornelhill {
+
+namespace {
+
+constexpr uint32_t kMaxHops = 255;
+
+Error Malformed(const std::string& what) {
+  return Error{ErrorCode::kMalformed, what};
+}
+
+void ToProto(const Endpoint& endpoint, pb::Endpoint* out) {
+  out->set_address(endpoint.address);
+  out->set_port(endpoint.port);
+}
+
+void ToProto(const FlowKey& key, pb::FlowKey* out) {
+  ToProto(key.caller, out->mutable_caller());
+  ToProto(key.service, out->mutable_service());
+  out->set_protocol(static_cast<uint32_t>(key.protocol));
+}
+
+void ToProto(const Refusal& refusal, pb::Refusal* out) {
+  out->set_verdict(static_cast<uint32_t>(refusal.verdict));
+  out->set_reason(static_cast<uint32_t>(refusal.reason));
+  out->set_retry_after_ms(static_cast<uint32_t>(refusal.retry_after.Count()));
+}
+
+Result<Endpoint> FromProto(const pb::Endpoint& in) {
+  if (in.port() > std::numeric_limits<uint16_t>::max()) {
+    return Malformed("port is larger than 65535");
+  }
+  return Endpoint{in.address(), static_cast<uint16_t>(in.port())};
+}
+
+Result<FlowKey> FromProto(const pb::FlowKey& in) {
+  BOOST_OUTCOME_TRY(caller, FromProto(in.caller()));
+  BOOST_OUTCOME_TRY(service, FromProto(in.service()));
+  if (in.protocol() != static_cast<uint32_t>(Protocol::kTcp) &&
+      in.protocol() != static_cast<uint32_t>(Protocol::kUdp)) {
+    return Malformed("flow protocol is neither TCP nor UDP");
+  }
+  return FlowKey{caller, service, static_cast<Protocol>(in.protocol())};
+}
+
+Result<Refusal> FromProto(const pb::Refusal& in) {
+  if (in.verdict() > static_cast<uint32_t>(Verdict::kRan)) {
+    return Malformed("refusal has an unknown verdict");
+  }
+  if (in.reason() > static_cast<uint32_t>(Reason::kNoLease)) {
+    return Malformed("refusal has an unknown reason");
+  }
+  return Refusal{static_cast<Verdict>(in.verdict()),
+                 static_cast<Reason>(in.reason()), Millis(in.retry_after_ms())};
+}
+
+void ToProto(const Forward& in, pb::Forward* out) {
+  out->mutable_service()->set_id(in.service.id.Value());
+  out->mutable_service()->set_incarnation(in.service.incarnation.Value());
+  out->mutable_service()->set_revision(in.service.revision.Value());
+  ToProto(in.packet.flow, out->mutable_flow());
+  out->set_nonce(in.packet.nonce.Value());
+  out->set_request(in.packet.request.Value());
+  out->set_first(in.packet.first);
+  out->set_last(in.packet.last);
+  out->set_reset(in.packet.reset);
+  out->set_repeatable(in.packet.repeatable);
+  out->set_cancel(in.packet.cancel);
+  out->set_deadline_ms(static_cast<uint32_t>(in.packet.deadline.Count()));
+  ToProto(in.balancer, out->mutable_balancer());
+  out->set_hops(in.hops);
+  out->set_route(static_cast<uint32_t>(in.route));
+  out->set_load_milli(in.load_milli);
+  out->set_target_incarnation(in.target.Value());
+  out->set_payload(in.payload);
+}
+
+Result<DataMessage> FromProto(pb::Forward* in) {
+  if (in->route() >= kForwardRouteCount) {
+    return Malformed("forward has an unknown route");
+  }
+  if (in->hops() > kMaxHops) return Malformed("forward has too many hops");
+  Forward out;
+  out.service = {ServiceId(in->service().id()),
+                 Incarnation(in->service().incarnation()),
+                 Revision(in->service().revision())};
+  BOOST_OUTCOME_TRY(flow, FromProto(in->flow()));
+  out.packet.flow = flow;
+  out.packet.nonce = FlowNonce(in->nonce());
+  out.packet.request = RequestNumber(in->request());
+  out.packet.first = in->first();
+  out.packet.last = in->last();
+  out.packet.reset = in->reset();
+  out.packet.repeatable = in->repeatable();
+  out.packet.cancel = in->cancel();
+  out.packet.deadline = Millis(in->deadline_ms());
+  BOOST_OUTCOME_TRY(balancer, FromProto(in->balancer()));
+  out.balancer = balancer;
+  out.hops = in->hops();
+  out.route = static_cast<ForwardRoute>(in->route());
+  out.load_milli = in->load_milli();
+  out.target = Incarnation(in->target_incarnation());
+  out.payload = std::move(*in->mutable_payload());
+  return DataMessage(std::move(out));
+}
+
+void ToProto(const Return& in, pb::Return* out) {
+  ToProto(in.flow, out->mutable_flow());
+  out->set_nonce(in.nonce.Value());
+  out->set_request(in.request.Value());
+  if (in.refused) ToProto(in.refusal, out->mutable_refusal());
+  out->set_payload(in.payload);
+}
+
+Result<DataMessage> FromProto(pb::Return* in) {
+  Return out;
+  BOOST_OUTCOME_TRY(flow, FromProto(in->flow()));
+  out.flow = flow;
+  out.nonce = FlowNonce(in->nonce());
+  out.request = RequestNumber(in->request());
+  out.refused = in->has_refusal();
+  if (out.refused) {
+    BOOST_OUTCOME_TRY(refusal, FromProto(in->refusal()));
+    out.refusal = refusal;
+  }
+  out.payload = std::move(*in->mutable_payload());
+  return DataMessage(std::move(out));
+}
+
+void ToProto(const OwnerHint& in, pb::OwnerHint* out) {
+  ToProto(in.flow, out->mutable_flow());
+  out->set_nonce(in.nonce.Value());
+  out->set_service_id(in.service.Value());
+  out->set_owner_instance(in.owner_instance.Value());
+  ToProto(in.owner, out->mutable_owner());
+}
+
+Result<DataMessage> FromProto(const pb::OwnerHint& in) {
+  OwnerHint out;
+  BOOST_OUTCOME_TRY(flow, FromProto(in.flow()));
+  out.flow = flow;
+  out.nonce = FlowNonce(in.nonce());
+  out.service = ServiceId(in.service_id());
+  out.owner_instance = InstanceId(in.owner_instance());
+  BOOST_OUTCOME_TRY(owner, FromProto(in.owner()));
+  out.owner = owner;
+  return DataMessage(out);
+}
+
+void ToProto(const OwnerReport& in, pb::OwnerReport* out) {
+  ToProto(in.flow, out->mutable_flow());
+  out->set_nonce(in.nonce.Value());
+  out->set_service_id(in.service.Value());
+  out->set_closed(in.closed);
+}
+
+Result<DataMessage> FromProto(const pb::OwnerReport& in) {
+  OwnerReport out;
+  BOOST_OUTCOME_TRY(flow, FromProto(in.flow()));
+  out.flow = flow;
+  out.nonce = FlowNonce(in.nonce());
+  out.service = ServiceId(in.service_id());
+  out.closed = in.closed();
+  return DataMessage(out);
+}
+
+// Parses `bytes` into `message` and checks size and version.
+template <typename Message>
+Result<void> Parse(std::string_view bytes, Message* message) {
+  if (bytes.size() > kMaxDatagramBytes) {
+    return Error{ErrorCode::kTooLarge, "message of " +
+                                           std::to_string(bytes.size()) +
+                                           " bytes is larger than " +
+                                           std::to_string(kMaxDatagramBytes)};
+  }
+  if (!message->ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return Malformed("message of " + std::to_string(bytes.size()) +
+                     " bytes does not parse");
+  }
+  if (message->version() != kProtocolVersion) {
+    return Error{ErrorCode::kUnsupportedVersion,
+                 "protocol version " + std::to_string(message->version()) +
+                     " is not " + std::to_string(kProtocolVersion)};
+  }
+  return boost::outcome_v2::success();
+}
+
+}  // namespace
+
+std::string Encode(const CallerDatagram& datagram) {
+  pb::CallerDatagram out;
+  out.set_version(kProtocolVersion);
+  out.set_nonce(datagram.nonce.Value());
+  out.set_request(datagram.request.Value());
+  out.set_first(datagram.first);
+  out.set_last(datagram.last);
+  out.set_repeatable(datagram.repeatable);
+  out.set_cancel(datagram.cancel);
+  out.set_deadline_ms(static_cast<uint32_t>(datagram.deadline.Count()));
+  if (datagram.refused) ToProto(datagram.refusal, out.mutable_refusal());
+  out.set_payload(datagram.payload);
+  return out.SerializeAsString();
+}
+
+std::string Encode(const Encapsulated& packet) {
+  pb::Encapsulated out;
+  out.set_version(kProtocolVersion);
+  ToProto(packet.flow, out.mutable_flow());
+  out.set_payload(packet.payload);
+  return out.SerializeAsString();
+}
+
+std::string Encode(const DataMessage& message) {
+  pb::DataMessage out;
+  out.set_version(kProtocolVersion);
+  struct Visitor {
+    pb::DataMessage* out;
+    void operator()(const Forward& body) const {
+      ToProto(body, this->out->mutable_forward());
+    }
+    void operator()(const Return& body) const {
+      ToProto(body, this->out->mutable_answer());
+    }
+    void operator()(const OwnerHint& body) const {
+      ToProto(body, this->out->mutable_owner_hint());
+    }
+    void operator()(const OwnerReport& body) const {
+      ToProto(body, this->out->mutable_owner_report());
+    }
+  };
+  std::visit(Visitor{&out}, message);
+  return out.SerializeAsString();
+}
+
+Result<CallerDatagram> DecodeCallerDatagram(std::string_view bytes) {
+  pb::CallerDatagram in;
+  BOOST_OUTCOME_TRY(Parse(bytes, &in));
+  CallerDatagram out;
+  out.nonce = FlowNonce(in.nonce());
+  out.request = RequestNumber(in.request());
+  out.first = in.first();
+  out.last = in.last();
+  out.repeatable = in.repeatable();
+  out.cancel = in.cancel();
+  out.deadline = Millis(in.deadline_ms());
+  out.refused = in.has_refusal();
+  if (out.refused) {
+    BOOST_OUTCOME_TRY(refusal, FromProto(in.refusal()));
+    out.refusal = refusal;
+  }
+  out.payload = std::move(*in.mutable_payload());
+  return out;
+}
+
+Result<Encapsulated> DecodeEncapsulated(std::string_view bytes) {
+  pb::Encapsulated in;
+  BOOST_OUTCOME_TRY(Parse(bytes, &in));
+  Encapsulated out;
+  BOOST_OUTCOME_TRY(flow, FromProto(in.flow()));
+  out.flow = flow;
+  out.payload = std::move(*in.mutable_payload());
+  return out;
+}
+
+Result<DataMessage> DecodeDataMessage(std::string_view bytes) {
+  pb::DataMessage in;
+  BOOST_OUTCOME_TRY(Parse(bytes, &in));
+  switch (in.body_case()) {
+    case pb::DataMessage::kForward:
+      return FromProto(in.mutable_forward());
+    case pb::DataMessage::kAnswer:
+      return FromProto(in.mutable_answer());
+    case pb::DataMessage::kOwnerHint:
+      return FromProto(in.owner_hint());
+    case pb::DataMessage::kOwnerReport:
+      return FromProto(in.owner_report());
+    case pb::DataMessage::BODY_NOT_SET:
+      break;
+  }
+  return Malformed("message has no known body");
+}
+
+}  // namespace cornelhill
--- /dev/null
+++ b/tests/base/flow_key_test.cc
@@ -0,0 +1,34 @@
+#include "cornelhill/base/flow_key.h"
+
+#include <criterion/criterion.h>
+
+namespace cornelhill {
+namespace {
+
+// Guards against a text form that does not read back, which would make
+// `cornelhillctl why FLOW` look up another flow.
+Test(flow_key, text_form_reads_back) {
+  const FlowKey key{{0x7f000001, 40000}, {0x7f000a01, 7001}, Protocol::kTcp};
+  const Result<FlowKey> parsed = ParseFlowKey(ToString(key));
+  cr_assert(parsed.has_value());
+  cr_assert(parsed.value() == key);
+}
+
+// Guards against a port or an address with trailing text being accepted.
+Test(flow_key, refuses_bad_endpoints) {
+  for (const char* text : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000",
+                           "127.0.0.1:80x", "localhost:80", "1.2.3:4"}) {
+    cr_assert_not(ParseEndpoint(text).has_value(), "%s was accepted", text);
+  }
+}
+
+// Guards against a change of the hash: balancers and agents of different
+// releases must compute the same bucket.
+Test(flow_key, bucket_is_the_same_on_every_release) {
+  const FlowKey key{{0x7f000001, 40000}, {0x7f000a01, 7001}, Protocol::kUdp};
+  cr_assert_eq(BucketOf(key).Value(), HashFlow(key) % kBucketCount);
+  cr_assert_eq(HashFlow(key), HashFlow(FlowKey(key)));
+}
+
+}  // namespace
+}  // namespace cornelhill
