--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -1,5 +1,7 @@
 set(CORNELHILL_WARNINGS -Wall -Wextra -Wpedantic -Werror
-    -Wno-missing-field-initializers)
+    -Wno-missing-field-initializers
+    # g++ 12 reports false positives for std::variant.
+    -Wno-maybe-uninitialized)
 
 # Adds the library cornelhill_NAME from src/NAME/*.cc and, where tests/NAME
 # holds sources, its one test program test_NAME.
--- /dev/null
+++ b/include/cornelhill/agent/agent.h
@@ -0,0 +1,197 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cornelhill/agent/duplicate_memory.h"
+#include "cornelhill/agent/flow_directory.h"
+#include "cornelhill/agent/flow_table.h"
+#include "cornelhill/agent/home_buckets.h"
+#include "cornelhill/base/millis.h"
+#include "cornelhill/ingress/ingress.h"
+#include "cornelhill/route/service_table.h"
+#include "cornelhill/turn/turn_scheduler.h"
+#include "cornelhill/wire/data_messages.h"
+
+namespace cornelhill {
+
+// Who an agent is. A new incarnation is used at each start of the process.
+struct AgentIdentity {
+  InstanceId instance;
+  Incarnation incarnation;
+  Endpoint data_address;
+};
+
+// A message to another process.
+struct SendMessage {
+  Endpoint to;
+  DataMessage message;
+};
+
+// What to do at the upstream.
+enum class UpstreamAction : uint8_t { kDeliver, kCancel };
+
+struct UpstreamPacket {
+  UpstreamAction action = UpstreamAction::kDeliver;
+  PacketInfo packet;
+  std::string payload;
+};
+
+// What an agent wants sent, in order.
+struct AgentOutput {
+  std::vector<SendMessage> sends;
+  std::vector<UpstreamPacket> upstream;
+};
+
+// Counts since the start of the process.
+struct AgentCounters {
+  uint64_t flows_accepted = 0;
+  uint64_t requests_started = 0;
+  uint64_t requests_answered = 0;
+  uint64_t requests_refused = 0;
+  uint64_t duplicates = 0;
+  uint64_t passed_to_second = 0;
+  uint64_t handed_back = 0;
+  uint64_t quarantined = 0;
+  uint64_t held_while_gathering = 0;
+  uint64_t dropped_wrong_service = 0;
+  uint64_t dropped_wrong_incarnation = 0;
+  uint64_t dropped_hop_limit = 0;
+  uint64_t dropped_unknown_flow = 0;
+  uint64_t dropped_no_lease = 0;
+  uint64_t dropped_late_answer = 0;
+  uint64_t dropped_pipelined = 0;
+};
+
+// The decisions of the agent beside one upstream: which flows the upstream
+// takes, whose turn it is, and what a resent packet gets. Reads no clock and
+// opens no socket. Not thread-safe: the owner serialises calls.
+class Agent {
+ public:
+  explicit Agent(const AgentIdentity& identity);
+
+  // Applies a view of the agent's service; an older revision changes nothing.
+  void SetView(Millis now, const ServiceView& view, AgentOutput* out);
+
+  // Lets the agent decide on new flows until `valid_until`.
+  void SetLease(Millis valid_until);
+
+  // Takes a new incarnation after its lease has expired. Open flows go on.
+  void Rejoin(Incarnation incarnation);
+
+  // Refuses new flows from now on; open flows and queued requests go on.
+  void Drain();
+
+  // `from` is the data address of the sender.
+  void OnMessage(Millis now, Endpoint from, DataMessage message,
+                 AgentOutput* out);
+
+  // Handles a packet from the upstream; `payload` is what the caller gets.
+  void OnAnswer(Millis now, const AnswerInfo& answer, std::string payload,
+                AgentOutput* out);
+
+  // Ends every request that the upstream held: running ones may have run,
+  // queued ones did not.
+  void OnUpstreamLost(Millis now, AgentOutput* out);
+
+  // Sheds, expires and starts what is due. Call at least every 10 ms.
+  void Tick(Millis now, AgentOutput* out);
+
+  // Whether no request is queued or running.
+  bool Idle() const;
+  bool Draining() const { return this->draining; }
+  size_t OpenFlows() const { return this->flows.size(); }
+  const AgentCounters& Counters() const { return this->counters; }
+  const TurnScheduler& Scheduler() const { return this->scheduler; }
+  const AgentIdentity& Identity() const { return this->identity; }
+
+ private:
+  // Packets of known flows (agent.cc).
+  bool IsForThisAgent(const Forward& forward);
+  void OnForward(Millis now, Forward forward, AgentOutput* out);
+  void OnPacketOfFlow(Millis now, Flow& flow, Forward forward,
+                      AgentOutput* out);
+  void OnNextRequest(Millis now, Flow& flow, Forward forward, AgentOutput* out);
+  void HoldPacket(Millis now, Flow& flow, Forward forward);
+  void PassToUpstream(Millis now, Flow& flow, Forward forward,
+                      AgentOutput* out);
+  bool AnswerDuplicate(const Forward& forward, AgentOutput* out);
+  void SendHint(const FlowKey& key, const Flow& flow, AgentOutput* out);
+  void CloseFlow(Millis now, const FlowKey& key, AgentOutput* out);
+  void ExpireIdle(Millis now, AgentOutput* out);
+
+  // Requests and turns (agent_requests.cc).
+  void Accept(Millis now, Forward forward, AgentOutput* out);
+  void Queue(Millis now, const FlowKey& key, Flow& flow, Forward forward,
+             AgentOutput* out);
+  void Refuse(Millis now, const RequestKey& key, Endpoint balancer,
+              const Refusal& refusal, std::string original, AgentOutput* out);
+  void EndRequest(Millis now, const FlowKey& key, Flow& flow, Reason reason,
+                  Millis retry_after, AgentOutput* out);
+  void CancelAtUpstream(const FlowKey& key, const Flow& flow, AgentOutput* out);
+  void FinishRequest(Millis now, const FlowKey& key, Flow& flow);
+  void StartDueRequests(Millis now, AgentOutput* out);
+  void RequeueOverrun(Millis now, AgentOutput* out);
+
+  // Decisions on new flows (agent_home.cc).
+  void OnUnknownFlow(Millis now, Forward forward, AgentOutput* out);
+  void DecideAsHome(Millis now, Forward forward, AgentOutput* out);
+  void DecideNewFlow(Millis now, Forward forward, AgentOutput* out);
+  void OnLostOwner(Millis now, const FlowUse& use, Forward forward,
+                   AgentOutput* out);
+  void OnHandBack(Millis now, Forward forward, AgentOutput* out);
+  void DecideOffer(Millis now, Forward forward, AgentOutput* out);
+  void Offer(Millis now, const UpstreamInfo& to, ForwardRoute kind,
+             Forward forward, AgentOutput* out);
+  void HandBack(Millis now, Forward forward, AgentOutput* out);
+  void PassToHome(Forward forward, AgentOutput* out);
+  void PassOn(const UpstreamInfo& to, ForwardRoute kind, Forward forward,
+              AgentOutput* out);
+  void PassOn(Endpoint to, Incarnation target, ForwardRoute kind,
+              Forward forward, AgentOutput* out);
+  void OnOwnerReport(Millis now, Endpoint from, const OwnerReport& report);
+  void OnDirectoryQuery(Millis now, Endpoint from, const DirectoryQuery& query,
+                        AgentOutput* out);
+  void OnDirectoryReply(Millis now, const DirectoryReply& reply,
+                        AgentOutput* out);
+  std::vector<FlowLocation> KnownFlows(const BucketSet& buckets) const;
+  void SendQueries(Millis now, AgentOutput* out);
+  void ReplayHeld(Millis now, AgentOutput* out);
+  void ReportToHome(const FlowUse& use, bool closed, AgentOutput* out);
+  void ReportOpenFlows(AgentOutput* out);
+  const UpstreamInfo* UpstreamById(InstanceId instance) const;
+  const UpstreamInfo* HomeOf(const FlowKey& key) const;
+  const UpstreamInfo* SecondOf(const FlowKey& key) const;
+  const UpstreamInfo* ReserveOf(const FlowKey& key) const;
+
+  // The last reply to each requester, so that repeated queries get the same
+  // pages.
+  struct SentReply {
+    Revision revision;
+    std::vector<DirectoryReply> pages;
+    Millis expires;
+  };
+
+  AgentIdentity identity;
+  std::unique_ptr<const ServiceRoute> route;  // Null before the first view.
+  std::vector<uint32_t> reserved;             // Of each upstream in the view.
+  Millis lease_valid_until;
+  bool draining = false;
+  bool in_view = false;
+  TurnScheduler scheduler;
+  FlowTable flows;
+  FlowDirectory directory;
+  HomeBuckets homes;
+  DuplicateMemory finished;
+  std::map<InstanceId, SentReply> sent_replies;
+  std::vector<Forward> held;  // While this agent gathers as home.
+  Millis next_sweep;
+  Millis next_report;
+  AgentCounters counters;
+};
+
+}  // namespace cornelhill
--- a/include/cornelhill/route/service_view.h
+++ b/include/cornelhill/route/service_view.h
@@ -23,6 +23,15 @@
   bool operator==(const UpstreamInfo&) const = default;
 };
 
+// An upstream that left without handing over what it knew. Control forgets it
+// once no copy of a packet that it may have seen can arrive any more.
+struct LostUpstream {
+  InstanceId instance;
+  Incarnation incarnation;
+
+  bool operator==(const LostUpstream&) const = default;
+};
+
 // Everything that balancers and agents need to know of one service, at one
 // revision. Upstreams are ordered by instance id.
 struct ServiceView {
@@ -33,6 +42,7 @@
   Endpoint address;
   TurnRules rules;
   std::vector<UpstreamInfo> upstreams;
+  std::vector<LostUpstream> lost;
 
   bool operator==(const ServiceView&) const = default;
 };
--- a/include/cornelhill/wire/data_codec.h
+++ b/include/cornelhill/wire/data_codec.h
@@ -16,6 +16,9 @@
 // Largest UDP payload that any process sends or accepts.
 constexpr size_t kMaxDatagramBytes = 9000;
 
+// Most pages of the reply to one directory query: about 400,000 flows.
+constexpr uint32_t kMaxDirectoryPages = 16384;
+
 // Encoders never fail. Decoders fail with `kTooLarge`, `kMalformed` or
 // `kUnsupportedVersion`, and never read beyond `bytes`. All are thread-safe.
 std::string Encode(const CallerDatagram& datagram);
--- a/include/cornelhill/wire/data_messages.h
+++ b/include/cornelhill/wire/data_messages.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <bitset>
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "cornelhill/base/flow_key.h"
 #include "cornelhill/base/millis.h"
@@ -28,7 +30,8 @@
   bool last = false;
   bool repeatable = false;
   bool cancel = false;
-  Millis deadline;  // Remaining time; 0 means none.
+  bool resent = false;  // Set on every transmission but the first.
+  Millis deadline;      // Remaining time; 0 means none.
   bool refused = false;
   Refusal refusal;
   std::string payload;
@@ -63,7 +66,8 @@
   bool reset = false;
   bool repeatable = false;
   bool cancel = false;
-  Millis deadline;  // Remaining time; 0 means none.
+  bool resent = false;  // Set on every transmission but the first.
+  Millis deadline;      // Remaining time; 0 means none.
 
   bool operator==(const PacketInfo&) const = default;
 };
@@ -95,6 +99,9 @@
   ForwardRoute route = ForwardRoute::kFromBalancer;
   uint32_t load_milli = 0;  // Sender's load: requests per slot times 1000.
   Incarnation target;       // Life of the agent that the packet is meant for.
+  // The agent that passed the packet on; zero from a balancer.
+  InstanceId sender;
+  Incarnation sender_incarnation;
   std::string payload;
 
   bool operator==(const Forward&) const = default;
@@ -133,6 +140,43 @@
   bool operator==(const OwnerReport&) const = default;
 };
 
-using DataMessage = std::variant<Forward, Return, OwnerHint, OwnerReport>;
+// One bit for each bucket of a service.
+using BucketSet = std::bitset<kBucketCount>;
+
+// Asks what the receiver knows of the flows of some buckets. The receiver
+// promises to decide on no new flow of these buckets under an older revision.
+struct DirectoryQuery {
+  ServiceRef service;
+  InstanceId requester;
+  Incarnation requester_incarnation;
+  BucketSet buckets;
+
+  bool operator==(const DirectoryQuery&) const = default;
+};
+
+// Where one use of a flow key lives.
+struct FlowLocation {
+  FlowKey flow;
+  FlowNonce nonce;
+  InstanceId owner;
+  bool closed = false;
+
+  bool operator==(const FlowLocation&) const = default;
+};
+
+// One page of the reply to a `DirectoryQuery`.
+struct DirectoryReply {
+  ServiceRef service;  // Revision of the query.
+  InstanceId responder;
+  Incarnation responder_incarnation;
+  uint32_t page = 0;
+  uint32_t page_count = 1;
+  std::vector<FlowLocation> entries;
+
+  bool operator==(const DirectoryReply&) const = default;
+};
+
+using DataMessage = std::variant<Forward, Return, OwnerHint, OwnerReport,
+                                 DirectoryQuery, DirectoryReply>;
 
 }  // namespace cornelhill
--- /dev/null
+++ b/src/agent/agent.cc
@@ -0,0 +1,284 @@
+#include "cornelhill/agent/agent.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "agent/agent_internal.h"
+
+namespace cornelhill {
+
+using internal::BufferOf;
+using internal::KeyOf;
+using internal::kMaxHops;
+using internal::NonceMatches;
+using internal::SendAnswer;
+using internal::SendRefusal;
+
+namespace {
+
+// Most bytes of answers kept for resent requests.
+constexpr size_t kAnswerMemoryBytes = 8 * 1024 * 1024;
+// Most packets of one request held until its turn.
+constexpr size_t kMaxHeldPackets = 64;
+constexpr Millis kFlowIdleTimeout(60000);
+constexpr Millis kSweepPeriod(1000);
+constexpr Millis kReportPeriod(100000);
+
+}  // namespace
+
+Agent::Agent(const AgentIdentity& identity)
+    : identity(identity),
+      scheduler(TurnConfig{}),
+      homes(identity.instance, identity.incarnation),
+      finished(kAnswerMemoryBytes) {}
+
+void Agent::SetView(Millis now, const ServiceView& view, AgentOutput* out) {
+  if (this->route != nullptr && this->route->view.revision >= view.revision) {
+    return;
+  }
+  this->route = std::make_unique<const ServiceRoute>(view);
+  this->reserved = ReservedSlots(view);
+  this->homes.SetRoute(now, *this->route);
+  const auto self = this->route->IndexOf(this->identity.instance);
+  const bool was_in_view = this->in_view;
+  this->in_view = self.has_value() && view.upstreams[*self].incarnation ==
+                                          this->identity.incarnation;
+  if (this->in_view) {
+    const UpstreamInfo& upstream = view.upstreams[*self];
+    this->draining = this->draining || upstream.draining;
+    this->scheduler.Configure(TurnConfig{
+        view.revision, view.rules, upstream.slots, this->reserved[*self]});
+  }
+  // The homes learn of flows that this agent kept over a lapse of its lease.
+  if (this->in_view && !was_in_view) this->ReportOpenFlows(out);
+  this->SendQueries(now, out);
+  this->ReplayHeld(now, out);
+  this->StartDueRequests(now, out);
+}
+
+void Agent::SetLease(Millis valid_until) {
+  this->lease_valid_until = std::max(this->lease_valid_until, valid_until);
+}
+
+void Agent::Rejoin(Incarnation incarnation) {
+  this->identity.incarnation = incarnation;
+  this->homes.Restart(incarnation);
+  this->in_view = false;
+}
+
+void Agent::Drain() { this->draining = true; }
+
+void Agent::OnMessage(Millis now, Endpoint from, DataMessage message,
+                      AgentOutput* out) {
+  if (auto* forward = std::get_if<Forward>(&message)) {
+    this->OnForward(now, std::move(*forward), out);
+  } else if (const auto* report = std::get_if<OwnerReport>(&message)) {
+    this->OnOwnerReport(now, from, *report);
+  } else if (const auto* query = std::get_if<DirectoryQuery>(&message)) {
+    this->OnDirectoryQuery(now, from, *query, out);
+  } else if (const auto* reply = std::get_if<DirectoryReply>(&message)) {
+    this->OnDirectoryReply(now, *reply, out);
+  }
+}
+
+bool Agent::IsForThisAgent(const Forward& forward) {
+  if (this->route == nullptr || forward.service.id != this->route->view.id ||
+      forward.service.incarnation != this->route->view.incarnation ||
+      forward.packet.flow.service != this->route->view.address) {
+    ++this->counters.dropped_wrong_service;
+    return false;
+  }
+  if (forward.target != this->identity.incarnation) {
+    ++this->counters.dropped_wrong_incarnation;
+    return false;
+  }
+  if (forward.hops > kMaxHops) {
+    ++this->counters.dropped_hop_limit;
+    return false;
+  }
+  return true;
+}
+
+void Agent::OnForward(Millis now, Forward forward, AgentOutput* out) {
+  if (!this->IsForThisAgent(forward)) return;
+  if (forward.route == ForwardRoute::kHandBack) {
+    this->OnHandBack(now, std::move(forward), out);
+    return;
+  }
+  const auto found = this->flows.find(forward.packet.flow);
+  if (found != this->flows.end()) {
+    Flow& flow = found->second;
+    if (NonceMatches(flow.nonce, forward.packet.nonce)) {
+      forward.packet.nonce = flow.nonce;
+      this->OnPacketOfFlow(now, flow, std::move(forward), out);
+      return;
+    }
+  }
+  if (this->AnswerDuplicate(forward, out)) return;
+  this->OnUnknownFlow(now, std::move(forward), out);
+}
+
+bool Agent::AnswerDuplicate(const Forward& forward, AgentOutput* out) {
+  const RequestKey key = KeyOf(forward.packet);
+  const FinishedRequest* known = this->finished.Find(key);
+  if (known == nullptr || known->outcome == Outcome::kDeclined) return false;
+  ++this->counters.duplicates;
+  if (known->outcome == Outcome::kRefused) {
+    SendRefusal(key, forward.balancer, known->refusal, forward.payload, out);
+    return true;
+  }
+  for (const std::string& packet : known->answer) {
+    SendAnswer(key, forward.balancer, packet, out);
+  }
+  return true;
+}
+
+void Agent::OnPacketOfFlow(Millis now, Flow& flow, Forward forward,
+                           AgentOutput* out) {
+  const FlowKey key = forward.packet.flow;
+  flow.balancer = forward.balancer;
+  flow.last_active = now;
+  if (forward.hops > 0) this->SendHint(key, flow, out);
+  if (forward.packet.reset) {
+    this->PassToUpstream(now, flow, std::move(forward), out);
+    this->CloseFlow(now, key, out);
+    return;
+  }
+  if (forward.packet.request > flow.request) {
+    this->OnNextRequest(now, flow, std::move(forward), out);
+    return;
+  }
+  if (forward.packet.request < flow.request) {
+    this->AnswerDuplicate(forward, out);
+    return;
+  }
+  if (forward.packet.cancel) {
+    if (flow.state == FlowState::kIdle) return;
+    this->EndRequest(now, key, flow, Reason::kCancelled, Millis(), out);
+    this->StartDueRequests(now, out);
+    return;
+  }
+  if (flow.state == FlowState::kQueued) {
+    this->HoldPacket(now, flow, std::move(forward));
+    return;
+  }
+  // TCP has its own retransmission, which must reach the upstream unchanged.
+  if (forward.packet.first && key.protocol != Protocol::kTcp) {
+    if (!this->AnswerDuplicate(forward, out)) ++this->counters.duplicates;
+    return;
+  }
+  this->PassToUpstream(now, flow, std::move(forward), out);
+}
+
+void Agent::OnNextRequest(Millis now, Flow& flow, Forward forward,
+                          AgentOutput* out) {
+  if (flow.state != FlowState::kIdle) {
+    ++this->counters.dropped_pipelined;
+    return;
+  }
+  if (!forward.packet.first) {
+    ++this->counters.dropped_unknown_flow;
+    return;
+  }
+  const FlowKey key = forward.packet.flow;
+  this->Queue(now, key, flow, std::move(forward), out);
+  this->StartDueRequests(now, out);
+}
+
+void Agent::HoldPacket(Millis now, Flow& flow, Forward forward) {
+  FlowBuffer& buffer = BufferOf(flow);
+  const bool known = std::any_of(buffer.held.begin(), buffer.held.end(),
+                                 [&forward](const HeldPacket& packet) {
+                                   return packet.payload == forward.payload;
+                                 });
+  if (forward.packet.first || known) {
+    ++this->counters.duplicates;
+    return;
+  }
+  // The caller resends what does not fit.
+  if (buffer.held.size() >= kMaxHeldPackets) return;
+  this->scheduler.OnBytes(now, KeyOf(forward.packet),
+                          static_cast<uint32_t>(forward.payload.size()));
+  buffer.held.push_back({forward.packet, std::move(forward.payload)});
+}
+
+void Agent::PassToUpstream(Millis now, Flow& flow, Forward forward,
+                           AgentOutput* out) {
+  if (forward.packet.last) flow.caller_closed = true;
+  if (flow.state == FlowState::kRunning) {
+    this->scheduler.OnBytes(now, KeyOf(forward.packet),
+                            static_cast<uint32_t>(forward.payload.size()));
+    BufferOf(flow).newest_payload = forward.payload;
+  }
+  out->upstream.push_back(
+      {UpstreamAction::kDeliver, forward.packet, std::move(forward.payload)});
+}
+
+void Agent::SendHint(const FlowKey& key, const Flow& flow, AgentOutput* out) {
+  out->sends.push_back(
+      {flow.balancer,
+       OwnerHint{key, flow.nonce, this->route->view.id, this->identity.instance,
+                 this->identity.data_address}});
+}
+
+void Agent::CloseFlow(Millis now, const FlowKey& key, AgentOutput* out) {
+  const auto found = this->flows.find(key);
+  if (found == this->flows.end()) return;
+  Flow& flow = found->second;
+  if (flow.state != FlowState::kIdle) {
+    this->EndRequest(now, key, flow, Reason::kCancelled, Millis(), out);
+  }
+  const FlowUse use{key, flow.nonce};
+  // A late copy of the first packet must find the owner for a while.
+  this->directory.Record(now, use, this->identity.instance, true);
+  this->ReportToHome(use, true, out);
+  this->flows.erase(found);
+  this->StartDueRequests(now, out);
+}
+
+void Agent::Tick(Millis now, AgentOutput* out) {
+  for (const TurnRefusal& shed : this->scheduler.Shed(now)) {
+    Flow& flow = this->flows.at(shed.key.flow);
+    this->Refuse(now, shed.key, flow.balancer,
+                 {Verdict::kNotRun, shed.reason, shed.retry_after},
+                 std::move(flow.buffer->held.front().payload), out);
+    flow.state = FlowState::kIdle;
+    flow.buffer.reset();
+  }
+  this->RequeueOverrun(now, out);
+  this->StartDueRequests(now, out);
+  this->SendQueries(now, out);
+  if (now >= this->next_sweep) {
+    this->next_sweep = now + kSweepPeriod;
+    this->ExpireIdle(now, out);
+  }
+  if (now >= this->next_report) {
+    this->next_report = now + kReportPeriod;
+    this->ReportOpenFlows(out);
+  }
+}
+
+void Agent::ExpireIdle(Millis now, AgentOutput* out) {
+  this->finished.Expire(now);
+  this->directory.Expire(now);
+  std::erase_if(this->sent_replies,
+                [now](const auto& item) { return item.second.expires <= now; });
+  std::vector<FlowKey> idle;
+  for (const auto& [key, flow] : this->flows) {
+    const bool closed = key.protocol == Protocol::kTcp && flow.caller_closed &&
+                        flow.upstream_closed;
+    const Millis limit = closed ? kResendLifetime : kFlowIdleTimeout;
+    if (flow.state == FlowState::kIdle && now - flow.last_active >= limit) {
+      idle.push_back(key);
+    }
+  }
+  std::sort(idle.begin(), idle.end());
+  for (const FlowKey& key : idle) this->CloseFlow(now, key, out);
+}
+
+bool Agent::Idle() const {
+  return this->scheduler.QueuedCount() == 0 &&
+         this->scheduler.RunningCount() == 0;
+}
+
+}  // namespace cornelhill
--- /dev/null
+++ b/src/agent/agent_home.cc
@@ -0,0 +1,375 @@
+// Decisions on new flows, and what home agents tell each other about them.
+
+#include <algorithm>
+#include <utility>
+
+#include "agent/agent_internal.h"
+#include "cornelhill/agent/agent.h"
+
+namespace cornelhill {
+
+using internal::KeyOf;
+using internal::kMaxHops;
+
+namespace {
+
+// Load above which the home agent offers a flow to the second candidate: one
+// request for each slot.
+constexpr uint32_t kOfferLoadMilli = 1000;
+constexpr uint32_t kDrainingLoadMilli = 1000000;
+// Most packets held while this agent gathers what others know.
+constexpr size_t kMaxHeldWhileGathering = 2048;
+// Fits a page into a datagram of an Ethernet frame.
+constexpr size_t kEntriesPerPage = 20;
+
+}  // namespace
+
+void Agent::OnUnknownFlow(Millis now, Forward forward, AgentOutput* out) {
+  if (forward.route == ForwardRoute::kOffer ||
+      forward.route == ForwardRoute::kOfferReserve) {
+    this->DecideOffer(now, std::move(forward), out);
+    return;
+  }
+  if (forward.route == ForwardRoute::kToOwner) {
+    // The sender's directory names this agent, but it never took the flow.
+    if (forward.packet.first) {
+      this->HandBack(now, std::move(forward), out);
+    } else {
+      ++this->counters.dropped_unknown_flow;
+    }
+    return;
+  }
+  switch (this->homes.RoleOf(BucketOf(forward.packet.flow))) {
+    case HomeRole::kActive:
+      this->DecideAsHome(now, std::move(forward), out);
+      return;
+    case HomeRole::kGathering:
+      ++this->counters.held_while_gathering;
+      if (this->held.size() < kMaxHeldWhileGathering) {
+        this->held.push_back(std::move(forward));
+      }
+      return;
+    case HomeRole::kOther:
+      this->PassToHome(std::move(forward), out);
+      return;
+  }
+}
+
+void Agent::PassToHome(Forward forward, AgentOutput* out) {
+  const FlowKey& key = forward.packet.flow;
+  if (const BucketFence* fence = this->homes.FenceOf(BucketOf(key))) {
+    this->PassOn(fence->address, fence->incarnation, ForwardRoute::kToHome,
+                 std::move(forward), out);
+    return;
+  }
+  const UpstreamInfo* home = this->HomeOf(key);
+  if (home == nullptr || home->instance == this->identity.instance) return;
+  this->PassOn(*home, ForwardRoute::kToHome, std::move(forward), out);
+}
+
+void Agent::DecideAsHome(Millis now, Forward forward, AgentOutput* out) {
+  FlowUse use{forward.packet.flow, forward.packet.nonce};
+  const FlowDirectory::Entry* known = this->directory.Find(&use);
+  if (known != nullptr) {
+    const UpstreamInfo* owner = this->UpstreamById(known->owner);
+    if (owner == nullptr) {
+      this->OnLostOwner(now, use, std::move(forward), out);
+    } else if (owner->instance != this->identity.instance) {
+      this->PassOn(*owner, ForwardRoute::kToOwner, std::move(forward), out);
+    } else {
+      // Closed here, and the answer is no longer kept.
+      ++this->counters.duplicates;
+    }
+    return;
+  }
+  if (!forward.packet.first) {
+    ++this->counters.dropped_unknown_flow;
+    return;
+  }
+  if (now >= this->lease_valid_until || !this->in_view) {
+    ++this->counters.dropped_no_lease;
+    return;
+  }
+  // A SYN runs nothing by itself: what follows it needs the lost upstream.
+  const bool may_have_been_seen = forward.packet.resent &&
+                                  !forward.packet.repeatable &&
+                                  use.flow.protocol != Protocol::kTcp;
+  if (may_have_been_seen && this->homes.InQuarantine(now, BucketOf(use.flow))) {
+    ++this->counters.quarantined;
+    this->Refuse(now, KeyOf(forward.packet), forward.balancer,
+                 {Verdict::kMayHaveRun, Reason::kQuarantine, Millis()},
+                 std::move(forward.payload), out);
+    return;
+  }
+  this->DecideNewFlow(now, std::move(forward), out);
+}
+
+void Agent::OnLostOwner(Millis now, const FlowUse& use, Forward forward,
+                        AgentOutput* out) {
+  if (!forward.packet.first) {
+    ++this->counters.dropped_unknown_flow;
+    return;
+  }
+  if (forward.packet.repeatable) {
+    this->directory.Erase(use);
+    this->DecideNewFlow(now, std::move(forward), out);
+    return;
+  }
+  this->Refuse(now, KeyOf(forward.packet), forward.balancer,
+               {Verdict::kMayHaveRun, Reason::kUpstreamLost, Millis()},
+               std::move(forward.payload), out);
+}
+
+void Agent::DecideNewFlow(Millis now, Forward forward, AgentOutput* out) {
+  const UpstreamInfo* second = this->SecondOf(forward.packet.flow);
+  const bool busy =
+      this->draining || this->scheduler.LoadMilli() >= kOfferLoadMilli;
+  if (busy && second != nullptr) {
+    ++this->counters.passed_to_second;
+    this->Offer(now, *second, ForwardRoute::kOffer, std::move(forward), out);
+    return;
+  }
+  if (this->draining) {
+    this->Refuse(now, KeyOf(forward.packet), forward.balancer,
+                 {Verdict::kNotRun, Reason::kDraining, Millis()},
+                 std::move(forward.payload), out);
+    return;
+  }
+  this->Accept(now, std::move(forward), out);
+}
+
+void Agent::Offer(Millis now, const UpstreamInfo& to, ForwardRoute kind,
+                  Forward forward, AgentOutput* out) {
+  // Recorded before the packet leaves, so that a copy follows the first one.
+  this->directory.Record(now, {forward.packet.flow, forward.packet.nonce},
+                         to.instance, false);
+  forward.load_milli =
+      this->draining ? kDrainingLoadMilli : this->scheduler.LoadMilli();
+  this->PassOn(to, kind, std::move(forward), out);
+}
+
+void Agent::DecideOffer(Millis now, Forward forward, AgentOutput* out) {
+  const FinishedRequest* known = this->finished.Find(KeyOf(forward.packet));
+  const bool declined =
+      known != nullptr && known->outcome == Outcome::kDeclined;
+  const bool has_room = forward.route == ForwardRoute::kOfferReserve
+                            ? this->scheduler.HasSlotForShort()
+                            : this->scheduler.LoadMilli() < forward.load_milli;
+  if (declined || this->draining || !this->in_view || !has_room ||
+      now >= this->lease_valid_until) {
+    this->HandBack(now, std::move(forward), out);
+    return;
+  }
+  this->Accept(now, std::move(forward), out);
+}
+
+void Agent::HandBack(Millis now, Forward forward, AgentOutput* out) {
+  // Final: a copy of the offer that arrives later must not be accepted, since
+  // the home agent may have let the flow run elsewhere.
+  this->finished.Add(now, KeyOf(forward.packet),
+                     FinishedRequest{Outcome::kDeclined, {}, {}, false});
+  ++this->counters.handed_back;
+  const UpstreamInfo* sender = this->UpstreamById(forward.sender);
+  if (sender == nullptr) return;
+  const Incarnation life = forward.sender_incarnation;
+  this->PassOn(sender->agent, life, ForwardRoute::kHandBack, std::move(forward),
+               out);
+}
+
+void Agent::OnHandBack(Millis now, Forward forward, AgentOutput* out) {
+  FlowUse use{forward.packet.flow, forward.packet.nonce};
+  const auto open = this->flows.find(use.flow);
+  if ((open != this->flows.end() && open->second.nonce == use.nonce) ||
+      this->AnswerDuplicate(forward, out)) {
+    // Decided meanwhile; the request's own state answers its copies.
+    return;
+  }
+  const FlowDirectory::Entry* known = this->directory.Find(&use);
+  if (known != nullptr && known->owner != forward.sender) {
+    // A late copy of an earlier hand-back; the flow was offered elsewhere.
+    return;
+  }
+  this->directory.Erase(use);
+  if (this->homes.RoleOf(BucketOf(use.flow)) != HomeRole::kActive) {
+    forward.route = ForwardRoute::kToHome;
+    this->OnUnknownFlow(now, std::move(forward), out);
+    return;
+  }
+  if (now >= this->lease_valid_until) {
+    ++this->counters.dropped_no_lease;
+    return;
+  }
+  const UpstreamInfo* second = this->SecondOf(use.flow);
+  const UpstreamInfo* reserve = this->ReserveOf(use.flow);
+  const bool from_second =
+      second != nullptr && second->instance == forward.sender;
+  if (from_second && reserve != nullptr && reserve != second &&
+      !this->scheduler.HasSlotForShort()) {
+    this->Offer(now, *reserve, ForwardRoute::kOfferReserve, std::move(forward),
+                out);
+    return;
+  }
+  if (this->draining) {
+    this->Refuse(now, KeyOf(forward.packet), forward.balancer,
+                 {Verdict::kNotRun, Reason::kDraining, Millis()},
+                 std::move(forward.payload), out);
+    return;
+  }
+  this->Accept(now, std::move(forward), out);
+}
+
+void Agent::PassOn(const UpstreamInfo& to, ForwardRoute kind, Forward forward,
+                   AgentOutput* out) {
+  this->PassOn(to.agent, to.incarnation, kind, std::move(forward), out);
+}
+
+void Agent::PassOn(Endpoint to, Incarnation target, ForwardRoute kind,
+                   Forward forward, AgentOutput* out) {
+  if (++forward.hops > kMaxHops) {
+    ++this->counters.dropped_hop_limit;
+    return;
+  }
+  forward.route = kind;
+  forward.target = target;
+  forward.sender = this->identity.instance;
+  forward.sender_incarnation = this->identity.incarnation;
+  forward.service.revision = this->route->view.revision;
+  out->sends.push_back({to, std::move(forward)});
+}
+
+void Agent::OnOwnerReport(Millis now, Endpoint from,
+                          const OwnerReport& report) {
+  if (this->route == nullptr || report.service != this->route->view.id) return;
+  for (const UpstreamInfo& upstream : this->route->view.upstreams) {
+    if (upstream.agent != from) continue;
+    this->directory.Record(now, {report.flow, report.nonce}, upstream.instance,
+                           report.closed);
+  }
+}
+
+void Agent::OnDirectoryQuery(Millis now, Endpoint from,
+                             const DirectoryQuery& query, AgentOutput* out) {
+  if (this->route != nullptr &&
+      (query.service.id != this->route->view.id ||
+       query.service.incarnation != this->route->view.incarnation)) {
+    ++this->counters.dropped_wrong_service;
+    return;
+  }
+  SentReply& reply = this->sent_replies[query.requester];
+  if (reply.revision > query.service.revision) return;
+  if (reply.revision < query.service.revision) {
+    // The promise comes before the answer: no flow may be decided between.
+    this->homes.Promise(query, from);
+    reply.revision = query.service.revision;
+    reply.pages.clear();
+    const std::vector<FlowLocation> known = this->KnownFlows(query.buckets);
+    const size_t count = std::max<size_t>(
+        1, (known.size() + kEntriesPerPage - 1) / kEntriesPerPage);
+    for (size_t page = 0; page < count; ++page) {
+      DirectoryReply message;
+      message.service = query.service;
+      message.responder = this->identity.instance;
+      message.responder_incarnation = this->identity.incarnation;
+      message.page = static_cast<uint32_t>(page);
+      message.page_count = static_cast<uint32_t>(count);
+      const size_t begin = page * kEntriesPerPage;
+      const size_t end = std::min(known.size(), begin + kEntriesPerPage);
+      message.entries.assign(known.begin() + static_cast<ptrdiff_t>(begin),
+                             known.begin() + static_cast<ptrdiff_t>(end));
+      reply.pages.push_back(std::move(message));
+    }
+  }
+  reply.expires = now + kResendLifetime;
+  for (const DirectoryReply& page : reply.pages) {
+    out->sends.push_back({from, page});
+  }
+}
+
+std::vector<FlowLocation> Agent::KnownFlows(const BucketSet& buckets) const {
+  std::vector<FlowLocation> known = this->directory.EntriesIn(buckets);
+  for (const auto& [key, flow] : this->flows) {
+    if (!buckets[BucketOf(key).Value()]) continue;
+    known.push_back({key, flow.nonce, this->identity.instance, false});
+  }
+  return known;
+}
+
+void Agent::OnDirectoryReply(Millis now, const DirectoryReply& reply,
+                             AgentOutput* out) {
+  if (this->route == nullptr || reply.service.id != this->route->view.id ||
+      reply.service.incarnation != this->route->view.incarnation) {
+    return;
+  }
+  for (const FlowLocation& entry : reply.entries) {
+    if (entry.owner == this->identity.instance) continue;
+    this->directory.Record(now, {entry.flow, entry.nonce}, entry.owner,
+                           entry.closed);
+  }
+  if (this->homes.OnReply(reply)) this->ReplayHeld(now, out);
+}
+
+void Agent::SendQueries(Millis now, AgentOutput* out) {
+  for (auto& [instance, query] : this->homes.DueQueries(now)) {
+    const UpstreamInfo* upstream = this->UpstreamById(instance);
+    if (upstream == nullptr) continue;
+    out->sends.push_back({upstream->agent, query});
+  }
+}
+
+void Agent::ReplayHeld(Millis now, AgentOutput* out) {
+  std::vector<Forward> packets;
+  packets.swap(this->held);
+  for (Forward& forward : packets) {
+    this->OnForward(now, std::move(forward), out);
+  }
+}
+
+void Agent::ReportToHome(const FlowUse& use, bool closed, AgentOutput* out) {
+  const UpstreamInfo* home = this->HomeOf(use.flow);
+  if (home == nullptr || home->instance == this->identity.instance) return;
+  out->sends.push_back(
+      {home->agent,
+       OwnerReport{use.flow, use.nonce, this->route->view.id, closed}});
+}
+
+void Agent::ReportOpenFlows(AgentOutput* out) {
+  if (this->route == nullptr) return;
+  std::vector<FlowUse> open;
+  for (const auto& [key, flow] : this->flows) open.push_back({key, flow.nonce});
+  std::sort(open.begin(), open.end());
+  for (const FlowUse& use : open) this->ReportToHome(use, false, out);
+}
+
+const UpstreamInfo* Agent::UpstreamById(InstanceId instance) const {
+  if (this->route == nullptr) return nullptr;
+  const auto index = this->route->IndexOf(instance);
+  return index.has_value() ? &this->route->view.upstreams[*index] : nullptr;
+}
+
+const UpstreamInfo* Agent::HomeOf(const FlowKey& key) const {
+  const uint16_t home = this->route->buckets.home[BucketOf(key).Value()];
+  return home == kNoUpstream ? nullptr : &this->route->view.upstreams[home];
+}
+
+const UpstreamInfo* Agent::SecondOf(const FlowKey& key) const {
+  const uint16_t second = this->route->buckets.second[BucketOf(key).Value()];
+  if (second == kNoUpstream) return nullptr;
+  const UpstreamInfo* upstream = &this->route->view.upstreams[second];
+  return upstream->instance == this->identity.instance ? nullptr : upstream;
+}
+
+const UpstreamInfo* Agent::ReserveOf(const FlowKey& key) const {
+  std::vector<const UpstreamInfo*> reserving;
+  for (size_t i = 0; i < this->reserved.size(); ++i) {
+    const UpstreamInfo& upstream = this->route->view.upstreams[i];
+    if (this->reserved[i] == 0 ||
+        upstream.instance == this->identity.instance) {
+      continue;
+    }
+    reserving.push_back(&upstream);
+  }
+  if (reserving.empty()) return nullptr;
+  return reserving[HashFlow(key) / kBucketCount % reserving.size()];
+}
+
+}  // namespace cornelhill
--- a/src/wire/data_codec.cc
+++ b/src/wire/data_codec.cc
@@ -60,10 +60,19 @@
                  static_cast<Reason>(in.reason()), Millis(in.retry_after_ms())};
 }
 
+void ToProto(const ServiceRef& in, pb::ServiceRef* out) {
+  out->set_id(in.id.Value());
+  out->set_incarnation(in.incarnation.Value());
+  out->set_revision(in.revision.Value());
+}
+
+ServiceRef FromProto(const pb::ServiceRef& in) {
+  return {ServiceId(in.id()), Incarnation(in.incarnation()),
+          Revision(in.revision())};
+}
+
 void ToProto(const Forward& in, pb::Forward* out) {
-  out->mutable_service()->set_id(in.service.id.Value());
-  out->mutable_service()->set_incarnation(in.service.incarnation.Value());
-  out->mutable_service()->set_revision(in.service.revision.Value());
+  ToProto(in.service, out->mutable_service());
   ToProto(in.packet.flow, out->mutable_flow());
   out->set_nonce(in.packet.nonce.Value());
   out->set_request(in.packet.request.Value());
@@ -78,6 +87,9 @@
   out->set_route(static_cast<uint32_t>(in.route));
   out->set_load_milli(in.load_milli);
   out->set_target_incarnation(in.target.Value());
+  out->set_resent(in.packet.resent);
+  out->set_sender_instance(in.sender.Value());
+  out->set_sender_incarnation(in.sender_incarnation.Value());
   out->set_payload(in.payload);
 }
 
@@ -87,9 +99,7 @@
   }
   if (in->hops() > kMaxHops) return Malformed("forward has too many hops");
   Forward out;
-  out.service = {ServiceId(in->service().id()),
-                 Incarnation(in->service().incarnation()),
-                 Revision(in->service().revision())};
+  out.service = FromProto(in->service());
   BOOST_OUTCOME_TRY(flow, FromProto(in->flow()));
   out.packet.flow = flow;
   out.packet.nonce = FlowNonce(in->nonce());
@@ -106,6 +116,9 @@
   out.route = static_cast<ForwardRoute>(in->route());
   out.load_milli = in->load_milli();
   out.target = Incarnation(in->target_incarnation());
+  out.packet.resent = in->resent();
+  out.sender = InstanceId(in->sender_instance());
+  out.sender_incarnation = Incarnation(in->sender_incarnation());
   out.payload = std::move(*in->mutable_payload());
   return DataMessage(std::move(out));
 }
@@ -170,6 +183,70 @@
   return DataMessage(out);
 }
 
+void ToProto(const DirectoryQuery& in, pb::DirectoryQuery* out) {
+  ToProto(in.service, out->mutable_service());
+  out->set_requester_instance(in.requester.Value());
+  out->set_requester_incarnation(in.requester_incarnation.Value());
+  std::string bits(kBucketCount / 8, '\0');
+  for (size_t i = 0; i < kBucketCount; ++i) {
+    if (in.buckets[i]) bits[i / 8] |= static_cast<char>(1U << (i % 8));
+  }
+  out->set_buckets(bits);
+}
+
+Result<DataMessage> FromProto(const pb::DirectoryQuery& in) {
+  if (in.buckets().size() != kBucketCount / 8) {
+    return Malformed("directory query has a bucket set of wrong length");
+  }
+  DirectoryQuery out;
+  out.service = FromProto(in.service());
+  out.requester = InstanceId(in.requester_instance());
+  out.requester_incarnation = Incarnation(in.requester_incarnation());
+  for (size_t i = 0; i < kBucketCount; ++i) {
+    const auto byte = static_cast<unsigned char>(in.buckets()[i / 8]);
+    out.buckets[i] = ((byte >> (i % 8)) & 1U) != 0;
+  }
+  return DataMessage(out);
+}
+
+void ToProto(const DirectoryReply& in, pb::DirectoryReply* out) {
+  ToProto(in.service, out->mutable_service());
+  out->set_responder_instance(in.responder.Value());
+  out->set_responder_incarnation(in.responder_incarnation.Value());
+  out->set_page(in.page);
+  out->set_page_count(in.page_count);
+  for (const FlowLocation& entry : in.entries) {
+    pb::DirectoryEntry* added = out->add_entries();
+    ToProto(entry.flow, added->mutable_flow());
+    added->set_nonce(entry.nonce.Value());
+    added->set_owner_instance(entry.owner.Value());
+    added->set_closed(entry.closed);
+  }
+}
+
+Result<DataMessage> FromProto(const pb::DirectoryReply& in) {
+  if (in.page_count() == 0 || in.page_count() > kMaxDirectoryPages ||
+      in.page() >= in.page_count()) {
+    return Malformed("directory reply has a bad page number");
+  }
+  DirectoryReply out;
+  out.service = FromProto(in.service());
+  out.responder = InstanceId(in.responder_instance());
+  out.responder_incarnation = Incarnation(in.responder_incarnation());
+  out.page = in.page();
+  out.page_count = in.page_count();
+  for (const pb::DirectoryEntry& entry : in.entries()) {
+    FlowLocation location;
+    BOOST_OUTCOME_TRY(flow, FromProto(entry.flow()));
+    location.flow = flow;
+    location.nonce = FlowNonce(entry.nonce());
+    location.owner = InstanceId(entry.owner_instance());
+    location.closed = entry.closed();
+    out.entries.push_back(location);
+  }
+  return DataMessage(std::move(out));
+}
+
 // Parses `bytes` into `message` and checks size and version.
 template <typename Message>
 Result<void> Parse(std::string_view bytes, Message* message) {
@@ -202,6 +279,7 @@
   out.set_last(datagram.last);
   out.set_repeatable(datagram.repeatable);
   out.set_cancel(datagram.cancel);
+  out.set_resent(datagram.resent);
   out.set_deadline_ms(static_cast<uint32_t>(datagram.deadline.Count()));
   if (datagram.refused) ToProto(datagram.refusal, out.mutable_refusal());
   out.set_payload(datagram.payload);
@@ -233,6 +311,12 @@
     void operator()(const OwnerReport& body) const {
       ToProto(body, this->out->mutable_owner_report());
     }
+    void operator()(const DirectoryQuery& body) const {
+      ToProto(body, this->out->mutable_directory_query());
+    }
+    void operator()(const DirectoryReply& body) const {
+      ToProto(body, this->out->mutable_directory_reply());
+    }
   };
   std::visit(Visitor{&out}, message);
   return out.SerializeAsString();
@@ -248,6 +332,7 @@
   out.last = in.last();
   out.repeatable = in.repeatable();
   out.cancel = in.cancel();
+  out.resent = in.resent();
   out.deadline = Millis(in.deadline_ms());
   out.refused = in.has_refusal();
   if (out.refused) {
@@ -280,6 +365,10 @@
       return FromProto(in.owner_hint());
     case pb::DataMessage::kOwnerReport:
       return FromProto(in.owner_report());
+    case pb::DataMessage::kDirectoryQuery:
+      return FromProto(in.directory_query());
+    case pb::DataMessage::kDirectoryReply:
+      return FromProto(in.directory_reply());
     case pb::DataMessage::BODY_NOT_SET:
       break;
   }
--- a/tests/wire/data_codec_test.cc
+++ b/tests/wire/data_codec_test.cc
@@ -21,6 +21,9 @@
   forward.route = ForwardRoute::kOffer;
   forward.load_milli = 1500;
   forward.target = Incarnation(4);
+  forward.packet.resent = true;
+  forward.sender = InstanceId(12);
+  forward.sender_incarnation = Incarnation(3);
   forward.payload = "payload";
   return forward;
 }
@@ -34,9 +37,20 @@
   OwnerHint hint{answer.flow, FlowNonce(5), ServiceId(7), InstanceId(9),
                  Endpoint{0x7f000201, 6100}};
   OwnerReport report{answer.flow, FlowNonce(5), ServiceId(7), true};
+  DirectoryQuery query;
+  query.service = SampleForward().service;
+  query.requester = InstanceId(3);
+  query.requester_incarnation = Incarnation(8);
+  query.buckets.set(0).set(77).set(255);
+  DirectoryReply reply;
+  reply.service = query.service;
+  reply.responder = InstanceId(4);
+  reply.page = 1;
+  reply.page_count = 3;
+  reply.entries.push_back({answer.flow, FlowNonce(5), InstanceId(9), true});
   for (const DataMessage& message :
        {DataMessage(SampleForward()), DataMessage(answer), DataMessage(hint),
-        DataMessage(report)}) {
+        DataMessage(report), DataMessage(query), DataMessage(reply)}) {
     const Result<DataMessage> read = DecodeDataMessage(Encode(message));
     cr_assert(read.has_value());
     cr_assert(read.value() == message);
--- /dev/null
+++ b/tools/caller/caller.cc
@@ -0,0 +1,314 @@
+// Stand-in for callers: opens flows to one service, each from a socket of its
+// own, resends what is not answered, checks every answer and prints one JSON
+// object with what became of the flows.
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornelhill/base/random.h"
+#include "cornelhill/wire/data_codec.h"
+#include "tools/common/net.h"
+#include "tools/common/work.h"
+
+ABSL_FLAG(std::string, service_address, "", "address to write to, IPV4:PORT");
+ABSL_FLAG(std::string, service, "", "name of the service");
+ABSL_FLAG(std::string, source, "127.0.100.1:0",
+          "first source address; callers use it and those above it");
+ABSL_FLAG(uint32_t, callers, 8, "number of source addresses");
+ABSL_FLAG(uint32_t, flows, 100, "flows opened at the start");
+ABSL_FLAG(uint32_t, requests, 1, "requests of each flow, one after another");
+ABSL_FLAG(uint32_t, think_ms, 200, "mean pause between requests, in ms");
+ABSL_FLAG(uint32_t, work_ms, 5, "mean slot time of a request, in ms");
+ABSL_FLAG(uint32_t, chunks, 1, "packets of an answer");
+ABSL_FLAG(uint32_t, parts, 1, "packets of a request");
+ABSL_FLAG(bool, repeatable, false, "whether requests may be repeated");
+ABSL_FLAG(uint32_t, resend_ms, 250, "pause before a resend, in ms");
+ABSL_FLAG(uint32_t, timeout_ms, 30000, "time before a flow is broken, in ms");
+ABSL_FLAG(uint32_t, spread_ms, 500, "flows open within this time, in ms");
+ABSL_FLAG(uint64_t, seed, 1, "seed");
+ABSL_FLAG(std::string, report, "", "file that the report is written to");
+
+namespace cornelhill {
+namespace {
+
+using boost::asio::ip::udp;
+using ErrorCodeAsio = boost::system::error_code;
+
+constexpr size_t kPartBytes = 900;
+// New tries of a request that was refused with `not_run`.
+constexpr uint32_t kMaxTries = 12;
+
+struct Totals {
+  uint64_t flows = 0;
+  uint64_t served = 0;
+  uint64_t broken = 0;
+  uint64_t misrouted = 0;
+  uint64_t crossed = 0;
+  uint64_t not_run = 0;   // Requests given up after refusals.
+  uint64_t refusals = 0;  // All refusals with `not_run`.
+  uint64_t may_have_run = 0;
+  uint64_t requests = 0;
+  uint64_t resends = 0;
+  std::vector<int64_t> latency_ms;
+};
+
+class CallerFlow {
+ public:
+  CallerFlow(boost::asio::io_context& io, const Endpoint& source,
+             std::string name, Random random, Totals* totals)
+      : socket(io, ToAsio(source)),
+        timer(io),
+        name(std::move(name)),
+        random(random),
+        totals(totals) {
+    ++totals->flows;
+    this->nonce = FlowNonce(this->random.Next());
+  }
+
+  void Start(Millis delay) {
+    this->After(delay, [this] {
+      this->Receive();
+      this->NextRequest();
+    });
+  }
+
+ private:
+  template <typename Action>
+  void After(Millis delay, Action action) {
+    this->timer.expires_after(std::chrono::milliseconds(delay.Count()));
+    this->timer.async_wait([action](const ErrorCodeAsio& error) {
+      if (!error) action();
+    });
+  }
+
+  void NextRequest() {
+    if (this->done_requests == absl::GetFlag(FLAGS_requests)) {
+      ++this->totals->served;
+      return this->Stop();
+    }
+    ++this->totals->requests;
+    this->tries = 0;
+    this->work = Work();
+    this->work.service = absl::GetFlag(FLAGS_service);
+    this->work.duration =
+        Millis(1 + static_cast<int64_t>(
+                       this->random.Exponential(absl::GetFlag(FLAGS_work_ms))));
+    this->work.chunks = absl::GetFlag(FLAGS_chunks);
+    this->work.parts = absl::GetFlag(FLAGS_parts);
+    this->started = MonotonicNow();
+    this->Try();
+  }
+
+  void Try() {
+    ++this->tries;
+    ++this->request;
+    this->work.id = this->name + "/" + std::to_string(this->request);
+    this->received.clear();
+    this->SendAll();
+    this->ScheduleResend();
+  }
+
+  void SendAll() {
+    for (uint32_t part = 0; part < this->work.parts; ++part) {
+      this->SendPart(part);
+    }
+  }
+
+  void SendPart(uint32_t part) {
+    CallerDatagram datagram;
+    datagram.nonce = this->nonce;
+    datagram.request = RequestNumber(this->request);
+    datagram.first = part == 0 && this->received.empty();
+    datagram.last = part + 1 == this->work.parts;
+    datagram.repeatable = absl::GetFlag(FLAGS_repeatable);
+    this->work.part = part;
+    this->work.resume_from = this->FirstMissing();
+    datagram.payload =
+        EncodeWork(this->work, this->work.parts > 1 ? kPartBytes : 0);
+    const std::string encoded = Encode(datagram);
+    ErrorCodeAsio error;
+    this->socket.send_to(
+        boost::asio::buffer(encoded),
+        ToAsio(ParseEndpointOrExit("service_address",
+                                   absl::GetFlag(FLAGS_service_address))),
+        0, error);
+  }
+
+  uint32_t FirstMissing() const {
+    uint32_t index = 0;
+    while (this->received.contains(index)) ++index;
+    return index;
+  }
+
+  void ScheduleResend() {
+    const auto base = static_cast<int64_t>(absl::GetFlag(FLAGS_resend_ms));
+    const Millis delay(base + static_cast<int64_t>(this->random.Below(base)));
+    this->After(delay, [this] {
+      if (MonotonicNow() - this->started >
+          Millis(absl::GetFlag(FLAGS_timeout_ms))) {
+        ++this->totals->broken;
+        return this->Stop();
+      }
+      ++this->totals->resends;
+      this->SendAll();
+      this->ScheduleResend();
+    });
+  }
+
+  void Receive() {
+    this->socket.async_receive_from(
+        boost::asio::buffer(this->buffer), this->from,
+        [this](const ErrorCodeAsio& error, size_t bytes) {
+          if (error == boost::asio::error::operation_aborted) return;
+          if (!error) this->OnPacket({this->buffer.data(), bytes});
+          if (this->socket.is_open()) this->Receive();
+        });
+  }
+
+  void OnPacket(std::string_view bytes) {
+    const auto datagram = DecodeCallerDatagram(bytes);
+    if (!datagram.has_value() || datagram.value().nonce != this->nonce) {
+      ++this->totals->crossed;
+      return;
+    }
+    // An answer to an earlier request, or a copy of one.
+    if (datagram.value().request != RequestNumber(this->request)) return;
+    if (datagram.value().refused) return this->OnRefusal(datagram.value());
+    const Result<Chunk> chunk = DecodeChunk(datagram.value().payload);
+    if (!chunk.has_value()) return;
+    if (chunk.value().service != this->work.service) {
+      ++this->totals->misrouted;
+      return;
+    }
+    if (chunk.value().id != this->work.id) {
+      ++this->totals->crossed;
+      return;
+    }
+    this->received.insert(chunk.value().index);
+    if (this->received.size() == this->work.chunks) this->OnComplete();
+  }
+
+  void OnRefusal(const CallerDatagram& datagram) {
+    if (datagram.refusal.verdict != Verdict::kNotRun) {
+      ++this->totals->may_have_run;
+      ++this->totals->broken;
+      return this->Stop();
+    }
+    ++this->totals->refusals;
+    if (this->tries == kMaxTries) {
+      ++this->totals->not_run;
+      return this->Stop();
+    }
+    const int64_t base =
+        std::min<int64_t>(200 + datagram.refusal.retry_after.Count() / 4, 2000);
+    this->After(Millis(base + static_cast<int64_t>(this->random.Below(base))),
+                [this] { this->Try(); });
+    // Copies of the refusal are ignored from now on.
+    ++this->request;
+  }
+
+  void OnComplete() {
+    this->totals->latency_ms.push_back(
+        (MonotonicNow() - this->started).Count());
+    ++this->done_requests;
+    // Copies of the answer are ignored from now on.
+    ++this->request;
+    const auto pause = static_cast<int64_t>(
+        this->random.Exponential(absl::GetFlag(FLAGS_think_ms)));
+    this->After(Millis(pause), [this] { this->NextRequest(); });
+  }
+
+  void Stop() {
+    this->timer.cancel();
+    this->socket.close();
+  }
+
+  udp::socket socket;
+  udp::endpoint from;
+  boost::asio::steady_timer timer;
+  std::string name;
+  Random random;
+  Totals* totals;
+  FlowNonce nonce;
+  uint32_t request = 0;
+  uint32_t done_requests = 0;
+  uint32_t tries = 0;
+  Millis started;
+  Work work;
+  std::set<uint32_t> received;
+  std::array<char, kMaxDatagramBytes> buffer{};
+};
+
+int64_t Percentile(std::vector<int64_t> values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  const auto index =
+      static_cast<size_t>(share * static_cast<double>(values.size() - 1));
+  return values[index];
+}
+
+nlohmann::json Report(const Totals& totals) {
+  return {{"flows", totals.flows},
+          {"served", totals.served},
+          {"broken", totals.broken},
+          {"misrouted", totals.misrouted},
+          {"crossed", totals.crossed},
+          {"not_run", totals.not_run},
+          {"refusals", totals.refusals},
+          {"may_have_run", totals.may_have_run},
+          {"requests", totals.requests},
+          {"resends", totals.resends},
+          {"latency_p50_ms", Percentile(totals.latency_ms, 0.5)},
+          {"latency_p99_ms", Percentile(totals.latency_ms, 0.99)}};
+}
+
+int Run() {
+  boost::asio::io_context io;
+  Totals totals;
+  Random random(absl::GetFlag(FLAGS_seed));
+  const Endpoint source =
+      ParseEndpointOrExit("source", absl::GetFlag(FLAGS_source));
+  std::vector<std::unique_ptr<CallerFlow>> flows;
+  for (uint32_t i = 0; i < absl::GetFlag(FLAGS_flows); ++i) {
+    Endpoint own = source;
+    own.address += i % absl::GetFlag(FLAGS_callers);
+    const std::string name = absl::GetFlag(FLAGS_service) + "-" +
+                             std::to_string(absl::GetFlag(FLAGS_seed)) + "-" +
+                             std::to_string(i);
+    flows.push_back(std::make_unique<CallerFlow>(
+        io, own, name, Random(random.Next()), &totals));
+    flows.back()->Start(Millis(static_cast<int64_t>(
+        random.Below(1 + absl::GetFlag(FLAGS_spread_ms)))));
+  }
+  io.run();
+  const std::string report = Report(totals).dump();
+  std::cout << report << "\n";
+  if (const std::string path = absl::GetFlag(FLAGS_report); !path.empty()) {
+    std::ofstream(path) << report << "\n";
+  }
+  return totals.broken + totals.misrouted + totals.crossed == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace cornelhill
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage("stand-in for callers of one service");
+  absl::ParseCommandLine(argc, argv);
+  return cornelhill::Run();
+}
