Replace the first-come-first-served turn scheduler by fair queueing

Cause: the placeholder served in order of arrival, so that one caller or one long request delayed all others.

Ruled out: tags for each request at arrival, since a cancelled request would still cost its caller; tags go to the first request of each caller and lane. One queue with skipping was ruled out because its cost grows with the requests skipped; requests that may use different slots wait in separate lanes.

--- a/include/cornelhill/turn/turn_scheduler.h
+++ b/include/cornelhill/turn/turn_scheduler.h
@@ -1,38 +1,32 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
-#include <deque>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
 #include "cornelhill/base/millis.h"
 #include "cornelhill/base/request_key.h"
 #include "cornelhill/base/strong_id.h"
-#include "cornelhill/base/verdict.h"
+#include "cornelhill/turn/class_memory.h"
+#include "cornelhill/turn/cold_ramp.h"
+#include "cornelhill/turn/delay_shedder.h"
+#include "cornelhill/turn/fair_queue.h"
+#include "cornelhill/turn/service_time.h"
+#include "cornelhill/turn/turn_decision.h"
 #include "cornelhill/turn/turn_rules.h"
+#include "cornelhill/turn/work_class.h"
 
 namespace cornelhill {
 
-// What work has proved to be, by the slot time and bytes it has used.
-enum class WorkClass : uint8_t { kShort, kLong, kStraggler };
-
-// A request that waits for a slot.
-struct TurnRequest {
-  RequestKey key;
-  CallerId caller;
-  uint32_t bytes = 0;
-  Millis deadline;  // Instant; 0 means none.
-  bool repeatable = false;
-  // Set where the service's rules or an earlier refusal say what the work is.
-  std::optional<WorkClass> hint;
-};
-
-// A request that will not be run, with the reason.
-struct TurnRefusal {
-  RequestKey key;
-  Reason reason = Reason::kNone;
-  Millis retry_after;
+// Where non-repeatable work without history may start. It cannot be taken out
+// of a slot when it turns out long.
+enum class UnprovenSlots : uint8_t {
+  kUnreserved,  // Only in slots that long work may hold.
+  kMeasured,    // In any slot while few such requests have turned out long.
+  kAny,         // In any slot.
 };
 
 // The rules in force for one upstream of one service.
@@ -40,22 +34,41 @@
   Revision revision;
   TurnRules rules;
   uint32_t slots = 1;
-  // Slots of this upstream that long work may not hold.
+  // Slots of this upstream that long work may not hold. Long work may always
+  // hold at least one slot.
   uint32_t reserved_slots = 0;
+  // Share of slot time that long work gets while short work waits too, in
+  // thousandths.
+  uint32_t long_share_permille = 250;
+  UnprovenSlots unproven = UnprovenSlots::kUnreserved;
 };
 
 // Decides which waiting request gets the next free slot of one upstream. Makes
 // no call to a clock. Not thread-safe: the owner serialises calls.
+//
+// A decision costs O(log callers + slots), and a change of the queue
+// O(log queued). A queued request takes at most 480 bytes with its hash and
+// tree nodes; callers and flows are bounded by `ClassMemory`. Movable, not
+// copyable.
 class TurnScheduler {
  public:
+  // Requires slots > 0.
   explicit TurnScheduler(const TurnConfig& config);
+  TurnScheduler(TurnScheduler&&) = default;
+  TurnScheduler& operator=(TurnScheduler&&) = default;
+  TurnScheduler(const TurnScheduler&) = delete;
+  TurnScheduler& operator=(const TurnScheduler&) = delete;
 
   // Applies new rules to waiting and later requests; running ones go on.
   void Configure(const TurnConfig& config);
 
+  // Limits the slots in use until measured service times are steady. Call when
+  // the upstream has just started.
+  void BeginColdStart();
+
   // Queues a request. Returns the refusal where a limit or the deadline
-  // forbids it; nothing is kept of a refused request. Requires that the key is
-  // neither queued nor running.
+  // forbids it; nothing is kept of a refused request but its decision record.
+  // Requires that the key is neither queued nor running.
   std::optional<TurnRefusal> Enqueue(Millis now, const TurnRequest& request);
 
   // Takes a free slot for the request whose turn it is and returns its key, or
@@ -82,25 +95,110 @@
   // calls `Cancel` and queues it again with `hint` set to `kLong`.
   std::vector<RequestKey> Overrun(Millis now);
 
-  // Queued and running requests for each slot, times 1000.
+  // Queued and running requests for each usable slot, times 1000. During a cold
+  // start fewer slots are usable.
   uint32_t LoadMilli() const;
 
   // Whether a request known to be short would start at once.
   bool HasSlotForShort() const;
 
+  // Whether this request would start at once. A home agent passes the request
+  // on where it would not.
+  bool WouldStart(const TurnRequest& request) const;
+
+  // Time in which the requests now queued for work of this class drain, from
+  // the measured service time.
+  Millis DrainTime(WorkClass work_class) const;
+
+  // The class that the request would be queued as.
+  WorkClass ClassOf(const TurnRequest& request) const;
+
+  // Running requests that have shown to be of a class.
+  size_t RunningCount(WorkClass work_class) const;
+
+  // Slots usable now; fewer than configured during a cold start.
+  uint32_t UsableSlots() const;
+
+  const DecisionRing& Starts() const { return this->starts; }
+  const DecisionRing& Refusals() const { return this->refusals; }
+
   size_t QueuedCount() const;
   size_t RunningCount() const;
+  const ClassMemory& Memory() const { return this->memory; }
 
  private:
   struct Running {
     TurnRequest request;
     Millis started;
+    int64_t charged = 0;
+    Lane lane = Lane::kShort;
+    WorkClass work_class = WorkClass::kShort;
+    bool unproven = false;
+    bool learned = false;   // Its class was learned while it ran.
+    bool reported = false;  // Returned by `Overrun`.
+  };
+  struct ByArrival {
+    bool operator()(const QueuedRequest* a, const QueuedRequest* b) const {
+      return a->arrival < b->arrival;
+    }
   };
+  struct ByLatestStart {
+    bool operator()(const QueuedRequest* a, const QueuedRequest* b) const {
+      return a->latest_start != b->latest_start
+                 ? a->latest_start < b->latest_start
+                 : a->arrival < b->arrival;
+    }
+  };
+  struct Placement {
+    WorkClass work_class = WorkClass::kShort;
+    Lane lane = Lane::kShort;
+    bool unproven = false;
+  };
+
+  Placement Place(const TurnRequest& request) const;
+  Lane LaneOf(const TurnRequest& request, WorkClass work_class,
+              bool unproven) const;
+  WorkClass Attained(const Running& running, Millis now) const;
+  void Demote(Millis now);
+  void DemoteOne(Running& running, WorkClass work_class);
+  uint32_t LongSlots() const;
+  uint32_t StragglerSlots() const;
+  // Running requests that are long or may turn out long.
+  size_t LongHeld() const;
+  bool MayStart(Lane lane) const;
+  QueuedRequest* Candidate(LaneGroup group) const;
+  int64_t ExpectedMicros(WorkClass work_class) const;
+  // Slot time ahead of a request queued now, spread over the usable slots.
+  Millis ExpectedWait(const TurnRequest& request, const Placement& place) const;
+  Millis RetryAfter(WorkClass work_class) const;
+  bool TakeToken(Millis now, CallerRecord& caller, Millis* wait) const;
+  TurnRefusal Refuse(Millis now, const TurnRequest& request,
+                     const Placement& place, Reason reason, Millis retry_after);
+  TurnRefusal ShedOne(Millis now, QueuedRequest& queued, Reason reason);
+  void Insert(QueuedRequest& queued);
+  void Erase(QueuedRequest& queued);
+  void EndRunning(Millis now, Running& running);
+  TurnDecision Record(Millis now, const QueuedRequest& queued) const;
+  void RecordAhead(TurnDecision& decision, const QueuedRequest& queued) const;
 
   TurnConfig config;
-  std::deque<TurnRequest> queue;
-  std::unordered_map<RequestKey, Millis> enqueued;
+  std::unordered_map<RequestKey, QueuedRequest> queue;
   std::unordered_map<RequestKey, Running> running;
+  FairQueue fair;
+  std::array<std::set<QueuedRequest*, ByArrival>, kLaneGroupCount> by_arrival;
+  std::set<QueuedRequest*, ByLatestStart> by_deadline;
+  std::array<DelayShedder, kLaneGroupCount> shedders;
+  std::array<ServiceTime, 3> service_times;  // By `WorkClass`.
+  ClassMemory memory;
+  ColdRamp ramp;
+  DecisionRing starts;
+  DecisionRing refusals;
+  uint64_t arrivals = 0;
+  // Slot time that long work is owed, in microseconds.
+  int64_t long_owed = 0;
+  // Share of unproven work that turned out long, in thousandths. Starts at one
+  // half: nothing is known.
+  int32_t unproven_long_permille = 500;
 };
 
 }  // namespace cornelhill
