--- /dev/null
+++ b/tests/turn/turn_scheduler_test.cc
@@ -0,0 +1,254 @@
+#include "cornelhill/turn/turn_scheduler.h"
+
+#include <criterion/criterion.h>
+
+#include "tests/turn/turn_loop.h"
+
+namespace cornelhill {
+namespace {
+
+TurnRequest RequestOf(uint32_t caller, uint32_t number) {
+  TurnRequest request;
+  request.key = KeyOf(caller, caller, number);
+  request.caller = CallerId(caller);
+  return request;
+}
+
+TurnRequest Hinted(uint32_t caller, uint32_t number, WorkClass work_class) {
+  TurnRequest request = RequestOf(caller, number);
+  request.hint = work_class;
+  return request;
+}
+
+TurnConfig ConfigOf(uint32_t slots, uint32_t reserved) {
+  TurnConfig config;
+  config.slots = slots;
+  config.reserved_slots = reserved;
+  return config;
+}
+
+// Starts and finishes one request, so that its caller has a history.
+void Teach(TurnScheduler& scheduler, Millis* now, const TurnRequest& request,
+           Millis service) {
+  cr_assert(!scheduler.Enqueue(*now, request).has_value());
+  cr_assert(scheduler.StartNext(*now) == request.key);
+  *now += service;
+  scheduler.Finish(*now, request.key);
+}
+
+// Guards against a caller with many queued requests that is served before one
+// that has had nothing.
+Test(turn_scheduler, callers_alternate) {
+  TurnScheduler scheduler(ConfigOf(1, 0));
+  for (uint32_t i = 0; i < 100; ++i) {
+    scheduler.Enqueue(Millis(0), RequestOf(1, i));
+  }
+  scheduler.StartNext(Millis(0));
+  scheduler.Enqueue(Millis(1), RequestOf(2, 1));
+  scheduler.Finish(Millis(5), RequestOf(1, 0).key);
+  cr_assert(scheduler.StartNext(Millis(5)) == RequestOf(2, 1).key);
+}
+
+// Guards against a weight that does not change the share.
+Test(turn_scheduler, weight_sets_the_share) {
+  TurnScheduler scheduler(ConfigOf(1, 0));
+  for (uint32_t i = 0; i < 200; ++i) {
+    TurnRequest heavy = RequestOf(1, i);
+    heavy.weight = 300;
+    scheduler.Enqueue(Millis(0), heavy);
+    scheduler.Enqueue(Millis(0), RequestOf(2, i));
+  }
+  Millis now;
+  int served = 0;
+  for (int i = 0; i < 80; ++i) {
+    const auto key = scheduler.StartNext(now);
+    if (key->flow.caller.address == 0x7f000001) ++served;
+    now += Millis(10);
+    scheduler.Finish(now, *key);
+  }
+  cr_assert(served >= 58 && served <= 62, "weight 3 of 4 got %d of 80", served);
+}
+
+// Guards against work that stays short however long it runs, and against a
+// class that is forgotten by the next request of the flow or caller.
+Test(turn_scheduler, class_is_learned_and_earned_back) {
+  TurnScheduler scheduler(ConfigOf(2, 0));
+  Millis now;
+  Teach(scheduler, &now, RequestOf(1, 0), Millis(300));
+  TurnRequest other_flow = RequestOf(1, 1);
+  other_flow.key.nonce = FlowNonce(99);
+  cr_assert(scheduler.ClassOf(RequestOf(1, 1)) == WorkClass::kLong);
+  cr_assert(scheduler.ClassOf(other_flow) == WorkClass::kLong);
+  cr_assert(scheduler.ClassOf(RequestOf(2, 1)) == WorkClass::kShort);
+  cr_assert(scheduler.ClassOf(Hinted(1, 1, WorkClass::kShort)) ==
+            WorkClass::kShort);
+  Teach(scheduler, &now, RequestOf(1, 2), Millis(10));
+  cr_assert(scheduler.ClassOf(RequestOf(1, 3)) == WorkClass::kShort);
+  Teach(scheduler, &now, RequestOf(3, 0), Millis(6000));
+  cr_assert(scheduler.ClassOf(RequestOf(3, 1)) == WorkClass::kStraggler);
+
+  scheduler.Enqueue(now, RequestOf(4, 0));
+  scheduler.StartNext(now);
+  scheduler.OnBytes(now, RequestOf(4, 0).key, 20'000);
+  cr_assert_eq(scheduler.RunningCount(WorkClass::kLong), 1);
+}
+
+// Guards against a request that is queued as short while its caller goes on
+// sending bytes.
+Test(turn_scheduler, bytes_move_a_queued_request_to_long) {
+  TurnScheduler scheduler(ConfigOf(1, 0));
+  scheduler.Enqueue(Millis(0), RequestOf(1, 0));
+  scheduler.OnBytes(Millis(0), RequestOf(1, 0).key, 20'000);
+  scheduler.Enqueue(Millis(1), RequestOf(2, 0));
+  cr_assert(scheduler.StartNext(Millis(1)) == RequestOf(2, 0).key);
+  scheduler.Finish(Millis(2), RequestOf(2, 0).key);
+  cr_assert(scheduler.StartNext(Millis(2)) == RequestOf(1, 0).key);
+}
+
+// Guards against long work in a slot that short work depends on, and against
+// non-repeatable work without history that takes it and turns out long.
+Test(turn_scheduler, reserve_is_kept_from_long_and_unproven_work) {
+  TurnScheduler scheduler(ConfigOf(2, 1));
+  scheduler.Enqueue(Millis(0), Hinted(1, 0, WorkClass::kLong));
+  scheduler.Enqueue(Millis(0), Hinted(2, 0, WorkClass::kLong));
+  scheduler.Enqueue(Millis(0), RequestOf(3, 0));
+  cr_assert(scheduler.StartNext(Millis(0)) == RequestOf(3, 0).key);
+  cr_assert(!scheduler.StartNext(Millis(0)).has_value());
+  cr_assert(scheduler.HasSlotForShort());
+  cr_assert(!scheduler.WouldStart(RequestOf(4, 0)));
+  cr_assert(scheduler.WouldStart(Hinted(4, 0, WorkClass::kShort)));
+}
+
+// Guards against repeatable work that keeps a reserved slot after its quantum,
+// and against cancelling it twice or cancelling non-repeatable work.
+Test(turn_scheduler, overrun_returns_repeatable_work_once) {
+  for (const bool repeatable : {true, false}) {
+    TurnScheduler scheduler(ConfigOf(2, 1));
+    scheduler.Enqueue(Millis(0), Hinted(1, 0, WorkClass::kLong));
+    scheduler.StartNext(Millis(0));
+    TurnRequest request = Hinted(2, 0, WorkClass::kShort);
+    request.repeatable = repeatable;
+    scheduler.Enqueue(Millis(0), request);
+    scheduler.StartNext(Millis(0));
+    cr_assert(scheduler.Overrun(Millis(99)).empty());
+    cr_assert_eq(scheduler.Overrun(Millis(100)).size(), repeatable ? 1 : 0);
+    cr_assert(scheduler.Overrun(Millis(101)).empty());
+  }
+}
+
+// Guards against stragglers that take every slot long work may hold.
+Test(turn_scheduler, stragglers_are_bounded) {
+  TurnScheduler scheduler(ConfigOf(4, 0));
+  for (uint32_t i = 1; i <= 4; ++i) {
+    scheduler.Enqueue(Millis(0), Hinted(i, 0, WorkClass::kStraggler));
+  }
+  scheduler.Enqueue(Millis(0), Hinted(9, 0, WorkClass::kLong));
+  while (scheduler.StartNext(Millis(0)).has_value()) {
+  }
+  cr_assert_eq(scheduler.RunningCount(WorkClass::kStraggler), 2);
+  cr_assert_eq(scheduler.RunningCount(WorkClass::kLong), 1);
+}
+
+// Guards against limits that are not applied or that block for ever.
+Test(turn_scheduler, limits_refuse_and_recover) {
+  TurnConfig config = ConfigOf(1, 0);
+  config.rules.max_queued_per_caller = 2;
+  config.rules.max_queued = 3;
+  TurnScheduler scheduler(config);
+  scheduler.Enqueue(Millis(0), RequestOf(1, 0));
+  scheduler.Enqueue(Millis(0), RequestOf(1, 1));
+  cr_assert(scheduler.Enqueue(Millis(0), RequestOf(1, 2))->reason ==
+            Reason::kCallerLimit);
+  cr_assert(!scheduler.Enqueue(Millis(0), RequestOf(2, 0)).has_value());
+  cr_assert(scheduler.Enqueue(Millis(0), RequestOf(3, 0))->reason ==
+            Reason::kServiceLimit);
+
+  config = ConfigOf(1, 0);
+  config.rules.caller_rate = 10;
+  TurnScheduler rated(config);
+  for (uint32_t i = 0; i < 10; ++i) {
+    cr_assert(!rated.Enqueue(Millis(0), RequestOf(1, i)).has_value());
+  }
+  const auto refusal = rated.Enqueue(Millis(0), RequestOf(1, 10));
+  cr_assert(refusal->reason == Reason::kCallerLimit);
+  cr_assert_eq(refusal->retry_after.Count(), 100);
+  cr_assert(!rated.Enqueue(Millis(100), RequestOf(1, 11)).has_value());
+}
+
+// Guards against queueing work that will miss its deadline, and against an
+// idle upstream that refuses for ever because of one slow measurement.
+Test(turn_scheduler, hopeless_deadline_is_refused_at_once) {
+  TurnScheduler scheduler(ConfigOf(1, 0));
+  Millis now;
+  Teach(scheduler, &now, RequestOf(1, 0), Millis(80));
+  TurnRequest urgent = RequestOf(2, 0);
+  urgent.deadline = now + Millis(50);
+  cr_assert(!scheduler.Enqueue(now, urgent).has_value());
+  scheduler.StartNext(now);
+  scheduler.Enqueue(now, RequestOf(3, 0));
+  TurnRequest late = RequestOf(4, 0);
+  late.deadline = now + Millis(100);
+  cr_assert(scheduler.Enqueue(now, late)->reason == Reason::kDeadline);
+  late.deadline = now + Millis(1000);
+  cr_assert(!scheduler.Enqueue(now, late).has_value());
+  const auto shed = scheduler.Shed(now + Millis(925));
+  cr_assert(std::any_of(shed.begin(), shed.end(), [&](const auto& refusal) {
+    return refusal.key == late.key && refusal.reason == Reason::kDeadline;
+  }));
+}
+
+// Guards against shedding a long queue that drains fast, and against keeping a
+// short queue that stands still.
+Test(turn_scheduler, sheds_by_time_waited_only) {
+  TurnScheduler scheduler(ConfigOf(1, 0));
+  for (uint32_t i = 0; i < 200; ++i) {
+    scheduler.Enqueue(Millis(0), RequestOf(i, 0));
+  }
+  cr_assert(scheduler.Shed(Millis(100)).empty());
+  cr_assert(scheduler.Shed(Millis(300)).empty());
+  cr_assert(scheduler.Shed(Millis(700)).empty());
+  cr_assert_eq(scheduler.Shed(Millis(800)).size(), 1);
+  cr_assert_eq(scheduler.Shed(Millis(2000)).size() + scheduler.QueuedCount(),
+               199);
+  cr_assert_eq(scheduler.QueuedCount(), 0);
+}
+
+// Guards against a fresh upstream that gets its full load before it has shown
+// that it can serve.
+Test(turn_scheduler, cold_start_opens_by_service_time) {
+  TurnScheduler scheduler(ConfigOf(4, 0));
+  scheduler.BeginColdStart();
+  Millis now;
+  cr_assert_eq(scheduler.UsableSlots(), 1);
+  for (uint32_t i = 0; i < 4; ++i) {
+    Teach(scheduler, &now, RequestOf(1, i), Millis(80));
+  }
+  for (uint32_t i = 4; i < 8; ++i) {
+    Teach(scheduler, &now, RequestOf(1, i), Millis(20));
+  }
+  cr_assert_eq(scheduler.UsableSlots(), 1, "still warming");
+  for (uint32_t i = 8; i < 12; ++i) {
+    Teach(scheduler, &now, RequestOf(1, i), Millis(20));
+  }
+  cr_assert_eq(scheduler.UsableSlots(), 2);
+  for (uint32_t i = 12; i < 16; ++i) {
+    Teach(scheduler, &now, RequestOf(1, i), Millis(20));
+  }
+  cr_assert_eq(scheduler.UsableSlots(), 4);
+}
+
+// Guards against memory that grows with every caller ever seen.
+Test(turn_scheduler, forgets_the_oldest_callers) {
+  TurnScheduler scheduler(ConfigOf(1, 0));
+  Millis now;
+  Teach(scheduler, &now, RequestOf(0, 0), Millis(300));
+  for (uint32_t i = 1; i <= kMaxIdleCallers + 10; ++i) {
+    Teach(scheduler, &now, RequestOf(i, 0), Millis(1));
+  }
+  cr_assert_eq(scheduler.Memory().CallerCount(), kMaxIdleCallers);
+  cr_assert_eq(scheduler.Memory().FlowCount(), kMaxFlows);
+  cr_assert(scheduler.ClassOf(RequestOf(0, 1)) == WorkClass::kShort);
+}
+
+}  // namespace
+}  // namespace cornelhill
