--- /dev/null
+++ b/include/cornelhill/daemon/runtime.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+
+#include "cornelhill/base/millis.h"
+
+namespace cornelhill {
+
+// The event loop of a process with its timers and signals. All handlers run on
+// the thread that calls `Run`.
+class Runtime {
+ public:
+  Runtime();
+
+  boost::asio::io_context& Io() { return this->io; }
+
+  // Calls `action` every `period`, the first time after one period.
+  void Every(Millis period, std::function<void()> action);
+
+  // Sets what SIGTERM or SIGINT starts. A second signal ends the process at
+  // once. Without an action the first signal ends the loop.
+  void OnDrain(std::function<void()> action);
+
+  // Sets what SIGHUP starts.
+  void OnReload(std::function<void()> action);
+
+  // Runs until `Stop`.
+  void Run();
+  void Stop() { this->io.stop(); }
+
+ private:
+  struct Periodic {
+    boost::asio::steady_timer timer;
+    Millis period;
+    std::function<void()> action;
+  };
+
+  void Schedule(Periodic& periodic);
+  void AwaitSignal();
+
+  boost::asio::io_context io;
+  boost::asio::signal_set signals;
+  std::list<Periodic> periodics;
+  std::function<void()> drain;
+  std::function<void()> reload;
+  bool draining = false;
+};
+
+// Counts dropped messages and logs them: at most one line a second for each
+// reason, with the count. Not thread-safe.
+class DropLog {
+ public:
+  void Count(const std::string& reason, const std::string& detail);
+
+  // Total of all reasons.
+  uint64_t Total() const { return this->total; }
+
+ private:
+  struct Reason {
+    uint64_t since_last_line = 0;
+    Millis last_line = Millis(-1000000);
+  };
+
+  std::map<std::string, Reason> reasons;
+  uint64_t total = 0;
+};
+
+}  // namespace cornelhill
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -17,7 +17,7 @@
 namespace {
 
 // Most bytes of answers kept for resent requests.
-constexpr size_t kAnswerMemoryBytes = 8 * 1024 * 1024;
+constexpr size_t kAnswerMemoryBytes = size_t{8} << 20;
 // Most packets of one request held until its turn.
 constexpr size_t kMaxHeldPackets = 64;
 constexpr Millis kFlowIdleTimeout(60000);
--- a/src/agent/agent_requests.cc
+++ b/src/agent/agent_requests.cc
@@ -45,7 +45,7 @@
 namespace {
 
 // Largest answer of one request that is kept for a resent request.
-constexpr size_t kMaxStoredAnswerBytes = 8 * 1024;
+constexpr size_t kMaxStoredAnswerBytes = 8192;
 
 TurnRequest MakeTurnRequest(Millis now, const RequestKey& key,
                             const PacketInfo& packet, size_t bytes) {
--- /dev/null
+++ b/src/cornelhilld/main.cc
@@ -0,0 +1,74 @@
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include <iostream>
+#include <string>
+
+#include "cornelhill/base/log.h"
+#include "cornelhill/config/settings.h"
+#include "cornelhill/daemon/roles.h"
+
+ABSL_FLAG(std::string, config, "",
+          "settings file (JSON); see docs/settings.md");
+ABSL_FLAG(bool, check_config, false, "check the settings file and exit");
+
+namespace cornelhill {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+Result<void> RunRole(const Settings& settings) {
+  switch (settings.role) {
+    case Role::kBalancer:
+      return RunBalancer(settings);
+    case Role::kAgent:
+      return RunAgent(settings);
+    case Role::kControl:
+      return RunControl(settings);
+  }
+  return Error{ErrorCode::kInvalidArgument, "unknown role"};
+}
+
+int Main() {
+  const std::string path = absl::GetFlag(FLAGS_config);
+  if (path.empty()) {
+    std::cerr << "cornelhilld: --config=FILE is required\n";
+    return kExitUsage;
+  }
+  const Result<Settings> settings = LoadSettings(path);
+  if (!settings.has_value()) {
+    std::cerr << "cornelhilld: " << settings.error().message << "\n";
+    return kExitUsage;
+  }
+  if (absl::GetFlag(FLAGS_check_config)) {
+    std::cout << path << ": settings of " << settings.value().instance
+              << " are valid\n";
+    return kExitOk;
+  }
+  InitLogging(settings.value().instance);
+  const Result<void> result = RunRole(settings.value());
+  if (!result.has_value()) {
+    LogLine("process_failed").Error().Add("error", result.error().message);
+    return kExitFailed;
+  }
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace cornelhill
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "cornelhilld --config=FILE [--check_config]\n"
+      "Runs one process of cornelhill: a balancer, an agent or a control "
+      "instance, as its settings say.");
+  absl::FlagsUsageConfig usage;
+  usage.version_string = [] { return std::string("cornelhilld 0.1.0\n"); };
+  absl::SetFlagsUsageConfig(usage);
+  absl::ParseCommandLine(argc, argv);
+  return cornelhill::Main();
+}
--- /dev/null
+++ b/src/daemon/agent_role.cc
@@ -0,0 +1,213 @@
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornelhill/agent/agent.h"
+#include "cornelhill/base/hash.h"
+#include "cornelhill/base/log.h"
+#include "cornelhill/daemon/control_client.h"
+#include "cornelhill/daemon/datagram_socket.h"
+#include "cornelhill/daemon/roles.h"
+#include "cornelhill/daemon/runtime.h"
+#include "cornelhill/ingress/ingress.h"
+
+namespace cornelhill {
+
+namespace {
+
+constexpr Millis kTickPeriod(5);
+constexpr Millis kControlPeriod(1000);
+// A drained agent stays for late copies of requests that it answered.
+constexpr Millis kDrainLinger = kResendLifetime;
+
+// A later start of the same instance has a higher incarnation.
+Incarnation NewIncarnation() {
+  return Incarnation(static_cast<uint64_t>(WallNow().Count()));
+}
+
+AgentIdentity IdentityOf(const Settings& settings) {
+  return {settings.instance_id, NewIncarnation(), settings.data_address};
+}
+
+Announcement AnnouncementOf(const Settings& settings,
+                            const AgentIdentity& identity) {
+  Announcement announcement;
+  announcement.instance = identity.instance;
+  announcement.incarnation = identity.incarnation;
+  announcement.application = settings.application;
+  announcement.agent = settings.data_address;
+  announcement.failure_domain =
+      FailureDomainId(static_cast<uint32_t>(Hash64(settings.failure_domain)));
+  announcement.slots = settings.slots;
+  announcement.weight = settings.weight;
+  return announcement;
+}
+
+class AgentRole {
+ public:
+  AgentRole(const Settings& settings, const DeliveryPlugin& plugin)
+      : settings(settings),
+        plugin(plugin),
+        core(IdentityOf(settings)),
+        data(runtime.Io()),
+        delivery(runtime.Io()),
+        control(runtime.Io(), settings,
+                Subscription{false, {}, {settings.application}},
+                AnnouncementOf(settings, core.Identity()),
+                {[this](const auto& views) { this->OnViews(views); },
+                 [this](Millis until) { this->core.SetLease(until); },
+                 [this] { this->OnRefused(); }}) {}
+
+  Result<void> Run() {
+    BOOST_OUTCOME_TRY(this->data.Open(this->settings.data_address));
+    BOOST_OUTCOME_TRY(this->delivery.Open(this->settings.delivery.address));
+    this->data.Start([this](Endpoint from, std::string_view bytes) {
+      this->OnData(from, bytes);
+    });
+    this->delivery.Start([this](Endpoint from, std::string_view bytes) {
+      this->OnUpstream(from, bytes);
+    });
+    BOOST_OUTCOME_TRY(this->control.Start());
+    this->control.Tick();
+    this->runtime.Every(kControlPeriod, [this] { this->control.Tick(); });
+    this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
+    this->runtime.OnDrain([this] {
+      this->core.Drain();
+      this->control.RequestDrain();
+    });
+    LogLine("agent_started")
+        .Add("application", this->settings.application)
+        .Add("data_address", ToString(this->settings.data_address))
+        .Add("incarnation", this->core.Identity().incarnation.Value());
+    this->runtime.Run();
+    const AgentCounters& counters = this->core.Counters();
+    LogLine("agent_stopped")
+        .Add("flows", counters.flows_accepted)
+        .Add("started", counters.requests_started)
+        .Add("answered", counters.requests_answered)
+        .Add("refused", counters.requests_refused)
+        .Add("duplicates", counters.duplicates)
+        .Add("passed_to_second", counters.passed_to_second)
+        .Add("handed_back", counters.handed_back);
+    return boost::outcome_v2::success();
+  }
+
+ private:
+  void OnViews(const std::vector<const ServiceView*>& views) {
+    for (const ServiceView* view : views) {
+      AgentOutput out;
+      this->core.SetView(MonotonicNow(), *view, &out);
+      this->Carry(std::move(out));
+      LogLine("service_in_effect")
+          .Add("service", view->name)
+          .Add("revision", view->revision.Value())
+          .Add("upstreams", view->upstreams.size());
+    }
+  }
+
+  void OnRefused() {
+    const Incarnation next = NewIncarnation();
+    LogLine("incarnation_replaced")
+        .Warn()
+        .Add("from", this->core.Identity().incarnation.Value())
+        .Add("to", next.Value());
+    this->core.Rejoin(next);
+    this->control.SetIncarnation(next);
+  }
+
+  void OnData(Endpoint from, std::string_view bytes) {
+    Result<DataMessage> message = DecodeDataMessage(bytes);
+    if (!message.has_value()) {
+      this->drops.Count("bad_data_message",
+                        ToString(from) + ": " + message.error().message);
+      return;
+    }
+    AgentOutput out;
+    this->core.OnMessage(MonotonicNow(), from, std::move(message.value()),
+                         &out);
+    this->Carry(std::move(out));
+  }
+
+  void OnUpstream(Endpoint from, std::string_view bytes) {
+    if (from != this->settings.delivery.upstream) {
+      this->drops.Count("unexpected_upstream", ToString(from));
+      return;
+    }
+    Result<Encapsulated> packet = DecodeEncapsulated(bytes);
+    if (!packet.has_value()) {
+      this->drops.Count("bad_upstream_packet", packet.error().message);
+      return;
+    }
+    const Result<AnswerInfo> answer = this->plugin.read_answer(packet.value());
+    if (!answer.has_value()) {
+      this->drops.Count("bad_answer", answer.error().message);
+      return;
+    }
+    AgentOutput out;
+    this->core.OnAnswer(MonotonicNow(), answer.value(),
+                        std::move(packet.value().payload), &out);
+    this->Carry(std::move(out));
+  }
+
+  void Tick() {
+    AgentOutput out;
+    this->core.Tick(MonotonicNow(), &out);
+    this->Carry(std::move(out));
+    if (this->core.Draining()) this->StopWhenDrained();
+  }
+
+  void StopWhenDrained() {
+    if (!this->core.Idle() || this->core.OpenFlows() > 0) {
+      this->idle_since.reset();
+      return;
+    }
+    const Millis now = MonotonicNow();
+    if (!this->idle_since.has_value()) this->idle_since = now;
+    if (now - *this->idle_since >= kDrainLinger) this->runtime.Stop();
+  }
+
+  void Carry(AgentOutput out) {
+    for (SendMessage& send : out.sends) {
+      this->data.Send(send.to, Encode(send.message));
+    }
+    for (UpstreamPacket& packet : out.upstream) {
+      const Result<Encapsulated> wrapped =
+          packet.action == UpstreamAction::kCancel
+              ? this->plugin.cancel(packet.packet, packet.payload)
+              : this->plugin.wrap(packet.packet, std::move(packet.payload));
+      if (!wrapped.has_value()) {
+        this->drops.Count("unwrapped_packet", wrapped.error().message);
+        continue;
+      }
+      this->delivery.Send(this->settings.delivery.upstream,
+                          Encode(wrapped.value()));
+    }
+  }
+
+  const Settings& settings;
+  const DeliveryPlugin& plugin;
+  Runtime runtime;
+  Agent core;
+  DatagramSocket data;
+  DatagramSocket delivery;
+  DropLog drops;
+  ControlClient control;
+  std::optional<Millis> idle_since;
+};
+
+}  // namespace
+
+Result<void> RunAgent(const Settings& settings) {
+  const DeliveryPlugin* plugin =
+      DeliveryRegistry::Global().Find(settings.delivery.plugin);
+  if (plugin == nullptr) {
+    return Error{
+        ErrorCode::kInvalidArgument,
+        "delivery.plugin \"" + settings.delivery.plugin + "\" is not built in"};
+  }
+  AgentRole role(settings, *plugin);
+  return role.Run();
+}
+
+}  // namespace cornelhill
