--- /dev/null
+++ b/src/control/control_codec.cc
@@ -0,0 +1,611 @@
+#include "cornelhill/control/control_codec.h"
+
+#include <utility>
+#include <variant>
+
+#include "control/control_proto.h"
+#include "cornelhill/wire/data_codec.h"
+
+namespace cornelhill {
+
+namespace {
+
+// Makes the overloads of control_proto.h visible beside those below.
+using cornelhill::FromProto;
+using cornelhill::ToProto;
+
+// Makes the overload set of several lambdas.
+template <typename... Functions>
+struct Overloaded : Functions... {
+  using Functions::operator()...;
+};
+template <typename... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
+
+template <typename Enum>
+Result<Enum> EnumFrom(uint32_t value, uint32_t count, const char* what) {
+  if (value >= count) {
+    return Malformed(std::string(what) + " " + std::to_string(value) +
+                     " is unknown");
+  }
+  return static_cast<Enum>(value);
+}
+
+Result<void> CheckCount(int count, size_t limit, const char* what) {
+  if (count > static_cast<int>(limit)) {
+    return Malformed(std::to_string(count) + " " + what + " are more than " +
+                     std::to_string(limit));
+  }
+  return boost::outcome_v2::success();
+}
+
+// Parses `bytes` into `message` and checks size and version.
+template <typename Message>
+Result<void> Parse(std::string_view bytes, size_t limit, Message* message) {
+  if (bytes.size() > limit) {
+    return Error{ErrorCode::kTooLarge,
+                 "message of " + std::to_string(bytes.size()) +
+                     " bytes is larger than " + std::to_string(limit)};
+  }
+  if (!message->ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return Malformed("message of " + std::to_string(bytes.size()) +
+                     " bytes does not parse");
+  }
+  if (message->version() != kProtocolVersion) {
+    return Error{ErrorCode::kUnsupportedVersion,
+                 "protocol version " + std::to_string(message->version()) +
+                     " is not " + std::to_string(kProtocolVersion)};
+  }
+  return boost::outcome_v2::success();
+}
+
+void ToProto(const Renewal& in, pb::Renewal* out) {
+  out->set_instance(in.instance.Value());
+  out->set_incarnation(in.incarnation.Value());
+  out->set_sequence(in.sequence);
+}
+
+Result<Renewal> FromProto(const pb::Renewal& in) {
+  return Renewal{InstanceId(in.instance()), Incarnation(in.incarnation()),
+                 in.sequence()};
+}
+
+void ToProto(const RenewalAck& in, pb::RenewalAck* out) {
+  out->set_instance(in.instance.Value());
+  out->set_incarnation(in.incarnation.Value());
+  out->set_sequence(in.sequence);
+  out->set_status(static_cast<uint32_t>(in.status));
+}
+
+Result<RenewalAck> FromProto(const pb::RenewalAck& in) {
+  BOOST_OUTCOME_TRY(status,
+                    EnumFrom<RenewalStatus>(in.status(), kRenewalStatusCount,
+                                            "renewal status"));
+  return RenewalAck{InstanceId(in.instance()), Incarnation(in.incarnation()),
+                    in.sequence(), status};
+}
+
+void ToProto(const DomainSummary& in, pb::DomainSummary* out) {
+  out->set_failure_domain(in.failure_domain.Value());
+  out->set_collector(in.collector.Value());
+  out->set_epoch(in.epoch);
+  out->set_number(in.number);
+  out->set_base(in.base);
+  out->set_roster_version(in.roster_version);
+  for (const RosterEntry& entry : in.entries) {
+    pb::RosterEntry* added = out->add_entries();
+    added->set_slot(entry.slot);
+    added->set_removed(entry.removed);
+    if (!entry.removed) {
+      ToProto(entry.announcement, added->mutable_announcement());
+    }
+  }
+  out->set_renewed(in.renewed);
+}
+
+Result<DomainSummary> FromProto(const pb::DomainSummary& in) {
+  BOOST_OUTCOME_TRY(
+      CheckCount(in.entries_size(), kMaxSummaryEntries, "roster entries"));
+  if (in.renewed().size() > kMaxRosterSlots / 8) {
+    return Malformed("summary renews more than " +
+                     std::to_string(kMaxRosterSlots) + " slots");
+  }
+  DomainSummary out;
+  out.failure_domain = FailureDomainId(in.failure_domain());
+  out.collector = InstanceId(in.collector());
+  out.epoch = in.epoch();
+  out.number = in.number();
+  out.base = in.base();
+  out.roster_version = in.roster_version();
+  for (const pb::RosterEntry& entry : in.entries()) {
+    if (entry.slot() >= kMaxRosterSlots) {
+      return Malformed("roster slot " + std::to_string(entry.slot()) +
+                       " is not below " + std::to_string(kMaxRosterSlots));
+    }
+    RosterEntry read{entry.slot(), entry.removed(), {}};
+    if (!read.removed) {
+      BOOST_OUTCOME_TRY(announcement, FromProto(entry.announcement()));
+      read.announcement = std::move(announcement);
+    }
+    out.entries.push_back(std::move(read));
+  }
+  out.renewed = in.renewed();
+  return out;
+}
+
+void ToProto(const SummaryAck& in, pb::SummaryAck* out) {
+  out->set_failure_domain(in.failure_domain.Value());
+  out->set_collector(in.collector.Value());
+  out->set_epoch(in.epoch);
+  out->set_number(in.number);
+  out->set_roster_version(in.roster_version);
+  out->set_term(in.term);
+  for (const RefusedLease& lease : in.refused) {
+    pb::RefusedLease* refused = out->add_refused();
+    refused->set_instance(lease.instance.Value());
+    refused->set_incarnation(lease.incarnation.Value());
+  }
+}
+
+Result<SummaryAck> FromProto(const pb::SummaryAck& in) {
+  BOOST_OUTCOME_TRY(
+      CheckCount(in.refused_size(), kMaxRefusedLeases, "refused leases"));
+  SummaryAck out;
+  out.failure_domain = FailureDomainId(in.failure_domain());
+  out.collector = InstanceId(in.collector());
+  out.epoch = in.epoch();
+  out.number = in.number();
+  out.roster_version = in.roster_version();
+  out.term = in.term();
+  for (const pb::RefusedLease& lease : in.refused()) {
+    out.refused.push_back(
+        {InstanceId(lease.instance()), Incarnation(lease.incarnation())});
+  }
+  return out;
+}
+
+void ToProto(const LossReport& in, pb::LossReport* out) {
+  out->set_observer(in.observer.Value());
+  out->set_instance(in.instance.Value());
+  out->set_incarnation(in.incarnation.Value());
+}
+
+Result<LossReport> FromProto(const pb::LossReport& in) {
+  return LossReport{InstanceId(in.observer()), InstanceId(in.instance()),
+                    Incarnation(in.incarnation())};
+}
+
+void ToProto(const EffectReport& in, pb::EffectReport* out) {
+  out->set_processes(in.processes);
+  out->set_lowest_revision(in.lowest.Value());
+  for (const Lagging& lagging : in.lagging) {
+    pb::Lagging* added = out->add_lagging();
+    added->set_instance(lagging.instance.Value());
+    added->set_revision(lagging.revision.Value());
+  }
+}
+
+Result<EffectReport> FromProto(const pb::EffectReport& in) {
+  BOOST_OUTCOME_TRY(
+      CheckCount(in.lagging_size(), kMaxLagging, "lagging processes"));
+  EffectReport out;
+  out.processes = in.processes();
+  out.lowest = Revision(in.lowest_revision());
+  for (const pb::Lagging& lagging : in.lagging()) {
+    out.lagging.push_back(
+        {InstanceId(lagging.instance()), Revision(lagging.revision())});
+  }
+  return out;
+}
+
+void ToProto(const Subscription& in, pb::Subscription* out) {
+  out->set_all(in.all);
+  for (const std::string& name : in.names) out->add_names(name);
+  for (const std::string& name : in.applications) out->add_applications(name);
+}
+
+Result<Subscription> FromProto(const pb::Subscription& in) {
+  BOOST_OUTCOME_TRY(CheckCount(in.names_size(), kMaxServices, "names"));
+  BOOST_OUTCOME_TRY(
+      CheckCount(in.applications_size(), kMaxServices, "applications"));
+  Subscription out;
+  out.all = in.all();
+  for (const std::string& name : in.names()) {
+    BOOST_OUTCOME_TRY(CheckText(name, kMaxNameBytes, "service name"));
+    if (!out.names.empty() && name <= out.names.back()) {
+      return Malformed("names of a subscription are not in order");
+    }
+    out.names.push_back(name);
+  }
+  for (const std::string& name : in.applications()) {
+    BOOST_OUTCOME_TRY(CheckText(name, kMaxNameBytes, "application name"));
+    if (!out.applications.empty() && name <= out.applications.back()) {
+      return Malformed("applications of a subscription are not in order");
+    }
+    out.applications.push_back(name);
+  }
+  return out;
+}
+
+void ToProto(const SpreadDigest& in, pb::SpreadDigest* out) {
+  out->set_sender(in.sender.Value());
+  out->set_number(in.number);
+  out->set_term(in.term);
+  out->set_revision(in.revision.Value());
+  out->set_hash(in.hash);
+  out->set_subscription_hash(in.subscription_hash);
+  if (in.has_subscription) {
+    ToProto(in.subscription, out->mutable_subscription());
+  }
+  ToProto(in.report, out->mutable_report());
+}
+
+Result<SpreadDigest> FromProto(const pb::SpreadDigest& in) {
+  SpreadDigest out;
+  out.sender = InstanceId(in.sender());
+  out.number = in.number();
+  out.term = in.term();
+  out.revision = Revision(in.revision());
+  out.hash = in.hash();
+  out.subscription_hash = in.subscription_hash();
+  out.has_subscription = in.has_subscription();
+  if (out.has_subscription) {
+    BOOST_OUTCOME_TRY(subscription, FromProto(in.subscription()));
+    out.subscription = std::move(subscription);
+  }
+  BOOST_OUTCOME_TRY(report, FromProto(in.report()));
+  out.report = std::move(report);
+  return out;
+}
+
+void ToProto(const SpreadUpdate& in, pb::SpreadUpdate* out) {
+  out->set_sender(in.sender.Value());
+  out->set_number(in.number);
+  out->set_status(static_cast<uint32_t>(in.status));
+  out->set_term(in.term);
+  out->set_revision(in.update.revision.Value());
+  out->set_from_revision(in.update.from.Value());
+  out->set_whole(in.update.whole);
+  out->set_confirmed_age_ms(static_cast<uint64_t>(in.confirmed_age.Count()));
+  out->set_hash(in.update.hash);
+  out->set_subscription_hash(in.subscription_hash);
+  for (const ServiceChange& change : in.update.services) {
+    ToProto(change, out->add_services());
+  }
+}
+
+Result<SpreadUpdate> FromProto(const pb::SpreadUpdate& in) {
+  constexpr uint64_t kMaxAgeMs = uint64_t{1} << 40;
+  BOOST_OUTCOME_TRY(status,
+                    EnumFrom<SpreadStatus>(in.status(), kSpreadStatusCount,
+                                           "status of a distribution update"));
+  BOOST_OUTCOME_TRY(
+      CheckCount(in.services_size(), kMaxServices, "service changes"));
+  if (in.confirmed_age_ms() > kMaxAgeMs) {
+    return Malformed("age of a confirmation is out of range");
+  }
+  SpreadUpdate out;
+  out.sender = InstanceId(in.sender());
+  out.number = in.number();
+  out.status = status;
+  out.term = in.term();
+  out.confirmed_age = Millis(static_cast<int64_t>(in.confirmed_age_ms()));
+  out.subscription_hash = in.subscription_hash();
+  out.update.from = Revision(in.from_revision());
+  out.update.revision = Revision(in.revision());
+  out.update.whole = in.whole();
+  out.update.hash = in.hash();
+  for (const pb::ServiceChange& change : in.services()) {
+    BOOST_OUTCOME_TRY(read, FromProto(change));
+    out.update.services.push_back(std::move(read));
+  }
+  return out;
+}
+
+void ToProto(const OperatorRequest& in, pb::OperatorRequest* out) {
+  out->set_request_id(in.request_id);
+  out->set_operator_name(in.operator_name);
+  out->set_kind(static_cast<uint32_t>(in.kind));
+  out->set_service(in.service);
+  out->set_instance(in.instance.Value());
+  out->set_weight(in.weight);
+  out->set_limit(in.limit);
+  out->set_base_revision(in.base.Value());
+  ToProto(in.declaration, out->mutable_declaration());
+}
+
+Result<OperatorRequest> FromProto(const pb::OperatorRequest& in) {
+  BOOST_OUTCOME_TRY(
+      CheckText(in.request_id(), kMaxRequestIdBytes, "request id"));
+  BOOST_OUTCOME_TRY(
+      CheckText(in.operator_name(), kMaxNameBytes, "operator name"));
+  BOOST_OUTCOME_TRY(CheckText(in.service(), kMaxNameBytes, "service name"));
+  BOOST_OUTCOME_TRY(
+      kind, EnumFrom<OperatorRequestKind>(in.kind(), kOperatorRequestKindCount,
+                                          "kind of an operator's request"));
+  OperatorRequest out;
+  out.request_id = in.request_id();
+  out.operator_name = in.operator_name();
+  out.kind = kind;
+  out.service = in.service();
+  out.instance = InstanceId(in.instance());
+  out.weight = in.weight();
+  out.limit = in.limit();
+  out.base = Revision(in.base_revision());
+  BOOST_OUTCOME_TRY(declaration, FromProto(in.declaration()));
+  out.declaration = std::move(declaration);
+  return out;
+}
+
+void ToProto(const ServiceStatus& in, pb::ServiceStatus* out) {
+  out->set_id(in.id.Value());
+  out->set_incarnation(in.incarnation.Value());
+  out->set_revision(in.revision.Value());
+  out->set_name(in.name);
+  ToProto(in.address, out->mutable_address());
+  out->set_application(in.application);
+  out->set_upstreams(in.upstreams);
+  out->set_draining(in.draining);
+  out->set_slots(in.slots);
+}
+
+Result<ServiceStatus> FromProto(const pb::ServiceStatus& in) {
+  BOOST_OUTCOME_TRY(CheckText(in.name(), kMaxNameBytes, "service name"));
+  BOOST_OUTCOME_TRY(
+      CheckText(in.application(), kMaxNameBytes, "application name"));
+  BOOST_OUTCOME_TRY(address, FromProto(in.address()));
+  ServiceStatus out;
+  out.id = ServiceId(in.id());
+  out.incarnation = Incarnation(in.incarnation());
+  out.revision = Revision(in.revision());
+  out.name = in.name();
+  out.address = address;
+  out.application = in.application();
+  out.upstreams = in.upstreams();
+  out.draining = in.draining();
+  out.slots = in.slots();
+  return out;
+}
+
+void ToProto(const OperatorResponse& in, pb::OperatorResponse* out) {
+  out->set_request_id(in.request_id);
+  out->set_outcome(static_cast<uint32_t>(in.outcome));
+  out->set_message(in.message);
+  out->set_term(in.term);
+  out->set_revision(in.revision.Value());
+  ToProto(in.lost_to, out->mutable_lost_to());
+  ToProto(in.leader, out->mutable_leader());
+  out->set_declaration_revision(in.declaration_revision.Value());
+  ToProto(in.declaration, out->mutable_declaration());
+  for (const ServiceStatus& service : in.services) {
+    ToProto(service, out->add_services());
+  }
+  for (const UpstreamInfo& upstream : in.upstreams) {
+    ToProto(upstream, out->add_upstreams());
+  }
+  for (const HistoryEntry& entry : in.history) {
+    ToProto(entry, out->add_history());
+  }
+  for (const ControlMember& member : in.members) {
+    pb::ControlMember* added = out->add_members();
+    added->set_instance(member.instance.Value());
+    ToProto(member.endpoint, added->mutable_endpoint());
+    added->set_voter(member.voter);
+    added->set_leader(member.leader);
+  }
+  ToProto(in.report, out->mutable_report());
+}
+
+Result<void> ReadLists(const pb::OperatorResponse& in, OperatorResponse* out) {
+  BOOST_OUTCOME_TRY(CheckCount(in.services_size(), kMaxServices, "services"));
+  BOOST_OUTCOME_TRY(CheckCount(in.history_size(), kMaxHistory, "changes"));
+  BOOST_OUTCOME_TRY(
+      CheckCount(in.members_size(), kMaxControlMembers, "members"));
+  for (const pb::ServiceStatus& service : in.services()) {
+    BOOST_OUTCOME_TRY(read, FromProto(service));
+    out->services.push_back(std::move(read));
+  }
+  for (const pb::Upstream& upstream : in.upstreams()) {
+    BOOST_OUTCOME_TRY(read, FromProto(upstream));
+    out->upstreams.push_back(read);
+  }
+  for (const pb::HistoryEntry& entry : in.history()) {
+    BOOST_OUTCOME_TRY(read, FromProto(entry));
+    out->history.push_back(std::move(read));
+  }
+  for (const pb::ControlMember& member : in.members()) {
+    BOOST_OUTCOME_TRY(endpoint, FromProto(member.endpoint()));
+    out->members.push_back({InstanceId(member.instance()), endpoint,
+                            member.voter(), member.leader()});
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<OperatorResponse> FromProto(const pb::OperatorResponse& in) {
+  BOOST_OUTCOME_TRY(
+      CheckText(in.request_id(), kMaxRequestIdBytes, "request id"));
+  BOOST_OUTCOME_TRY(
+      CheckText(in.message(), kMaxOperatorMessageBytes, "response message"));
+  BOOST_OUTCOME_TRY(
+      outcome, EnumFrom<OperatorOutcome>(in.outcome(), kOperatorOutcomeCount,
+                                         "outcome of an operator's request"));
+  OperatorResponse out;
+  out.request_id = in.request_id();
+  out.outcome = outcome;
+  out.message = in.message();
+  out.term = in.term();
+  out.revision = Revision(in.revision());
+  BOOST_OUTCOME_TRY(lost_to, FromProto(in.lost_to()));
+  out.lost_to = std::move(lost_to);
+  BOOST_OUTCOME_TRY(leader, FromProto(in.leader()));
+  out.leader = leader;
+  out.declaration_revision = Revision(in.declaration_revision());
+  BOOST_OUTCOME_TRY(declaration, FromProto(in.declaration()));
+  out.declaration = std::move(declaration);
+  BOOST_OUTCOME_TRY(ReadLists(in, &out));
+  BOOST_OUTCOME_TRY(report, FromProto(in.report()));
+  out.report = std::move(report);
+  return out;
+}
+
+template <typename Body>
+Result<ControlMessage> Read(const Body& in) {
+  BOOST_OUTCOME_TRY(body, FromProto(in));
+  return ControlMessage(std::move(body));
+}
+
+Result<Command> ReadBody(const pb::Command& in) {
+  switch (in.body_case()) {
+    case pb::Command::kPutDeclaration: {
+      BOOST_OUTCOME_TRY(declaration,
+                        FromProto(in.put_declaration().declaration()));
+      return Command{
+          {},
+          {},
+          PutDeclaration{Revision(in.put_declaration().base_revision()),
+                         std::move(declaration)}};
+    }
+    case pb::Command::kUpstreamJoin: {
+      BOOST_OUTCOME_TRY(announcement, FromProto(in.upstream_join()));
+      return Command{{}, {}, UpstreamJoin{std::move(announcement)}};
+    }
+    case pb::Command::kUpstreamLeave:
+      return Command{
+          {},
+          {},
+          UpstreamLeave{InstanceId(in.upstream_leave().instance()),
+                        Incarnation(in.upstream_leave().incarnation())}};
+    case pb::Command::kUpstreamDrain:
+      return Command{{},
+                     {},
+                     UpstreamDrain{InstanceId(in.upstream_drain().instance()),
+                                   in.upstream_drain().draining()}};
+    case pb::Command::kUpstreamWeight:
+      if (in.upstream_weight().weight() > kMaxWeight) {
+        return Malformed("weight is above " + std::to_string(kMaxWeight));
+      }
+      return Command{{},
+                     {},
+                     UpstreamWeight{InstanceId(in.upstream_weight().instance()),
+                                    in.upstream_weight().weight()}};
+    case pb::Command::BODY_NOT_SET:
+      break;
+  }
+  return Malformed("command has no known body");
+}
+
+}  // namespace
+
+std::string Encode(const Command& command) {
+  pb::Command out;
+  out.set_version(kProtocolVersion);
+  out.set_request_id(command.request_id);
+  out.set_operator_name(command.operator_name);
+  std::visit(
+      Overloaded{
+          [&out](const PutDeclaration& body) {
+            out.mutable_put_declaration()->set_base_revision(body.base.Value());
+            ToProto(body.declaration,
+                    out.mutable_put_declaration()->mutable_declaration());
+          },
+          [&out](const UpstreamJoin& body) {
+            ToProto(body.announcement, out.mutable_upstream_join());
+          },
+          [&out](const UpstreamLeave& body) {
+            out.mutable_upstream_leave()->set_instance(body.instance.Value());
+            out.mutable_upstream_leave()->set_incarnation(
+                body.incarnation.Value());
+          },
+          [&out](const UpstreamDrain& body) {
+            out.mutable_upstream_drain()->set_instance(body.instance.Value());
+            out.mutable_upstream_drain()->set_draining(body.draining);
+          },
+          [&out](const UpstreamWeight& body) {
+            out.mutable_upstream_weight()->set_instance(body.instance.Value());
+            out.mutable_upstream_weight()->set_weight(body.weight);
+          }},
+      command.body);
+  return out.SerializeAsString();
+}
+
+std::string Encode(const ControlMessage& message) {
+  pb::ControlMessage out;
+  out.set_version(kProtocolVersion);
+  std::visit(Overloaded{[&out](const Announcement& body) {
+                          ToProto(body, out.mutable_announcement());
+                        },
+                        [&out](const Renewal& body) {
+                          ToProto(body, out.mutable_renewal());
+                        },
+                        [&out](const RenewalAck& body) {
+                          ToProto(body, out.mutable_renewal_ack());
+                        },
+                        [&out](const DomainSummary& body) {
+                          ToProto(body, out.mutable_domain_summary());
+                        },
+                        [&out](const SummaryAck& body) {
+                          ToProto(body, out.mutable_summary_ack());
+                        },
+                        [&out](const LossReport& body) {
+                          ToProto(body, out.mutable_loss_report());
+                        },
+                        [&out](const SpreadDigest& body) {
+                          ToProto(body, out.mutable_spread_digest());
+                        },
+                        [&out](const SpreadUpdate& body) {
+                          ToProto(body, out.mutable_spread_update());
+                        },
+                        [&out](const OperatorRequest& body) {
+                          ToProto(body, out.mutable_operator_request());
+                        },
+                        [&out](const OperatorResponse& body) {
+                          ToProto(body, out.mutable_operator_response());
+                        }},
+             message);
+  return out.SerializeAsString();
+}
+
+Result<Command> DecodeCommand(std::string_view bytes) {
+  pb::Command in;
+  BOOST_OUTCOME_TRY(Parse(bytes, kMaxCommandBytes, &in));
+  BOOST_OUTCOME_TRY(
+      CheckText(in.request_id(), kMaxRequestIdBytes, "request id"));
+  BOOST_OUTCOME_TRY(
+      CheckText(in.operator_name(), kMaxNameBytes, "operator name"));
+  BOOST_OUTCOME_TRY(out, ReadBody(in));
+  out.request_id = in.request_id();
+  out.operator_name = in.operator_name();
+  return out;
+}
+
+Result<ControlMessage> DecodeControlMessage(std::string_view bytes) {
+  pb::ControlMessage in;
+  BOOST_OUTCOME_TRY(Parse(bytes, kMaxControlMessageBytes, &in));
+  switch (in.body_case()) {
+    case pb::ControlMessage::kAnnouncement:
+      return Read(in.announcement());
+    case pb::ControlMessage::kRenewal:
+      return Read(in.renewal());
+    case pb::ControlMessage::kRenewalAck:
+      return Read(in.renewal_ack());
+    case pb::ControlMessage::kDomainSummary:
+      return Read(in.domain_summary());
+    case pb::ControlMessage::kSummaryAck:
+      return Read(in.summary_ack());
+    case pb::ControlMessage::kLossReport:
+      return Read(in.loss_report());
+    case pb::ControlMessage::kSpreadDigest:
+      return Read(in.spread_digest());
+    case pb::ControlMessage::kSpreadUpdate:
+      return Read(in.spread_update());
+    case pb::ControlMessage::kOperatorRequest:
+      return Read(in.operator_request());
+    case pb::ControlMessage::kOperatorResponse:
+      return Read(in.operator_response());
+    case pb::ControlMessage::BODY_NOT_SET:
+      break;
+  }
+  return Malformed("message has no known body");
+}
+
+}  // namespace cornelhill
--- /dev/null
+++ b/src/control/control_proto.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+
+#include "control.pb.h"
+#include "cornelhill/base/result.h"
+#include "cornelhill/control/command.h"
+#include "cornelhill/control/control_messages.h"
+#include "cornelhill/control/service_change.h"
+
+namespace cornelhill {
+
+// Conversions shared by the codec and the snapshot. `FromProto` fails with
+// `kMalformed` where a value is out of range.
+Error Malformed(const std::string& what);
+Result<void> CheckText(const std::string& text, size_t limit, const char* what);
+
+void ToProto(const Endpoint& in, pb::Endpoint* out);
+void ToProto(const TurnRules& in, pb::TurnRules* out);
+void ToProto(const Declaration& in, pb::Declaration* out);
+void ToProto(const ServiceDeclaration& in, pb::ServiceDeclaration* out);
+void ToProto(const Announcement& in, pb::Announcement* out);
+void ToProto(const ChangeRef& in, pb::ChangeRef* out);
+void ToProto(const CommandResponse& in, pb::CommandResponse* out);
+void ToProto(const UpstreamInfo& in, pb::Upstream* out);
+void ToProto(const ServiceChange& in, pb::ServiceChange* out);
+void ToProto(const HistoryEntry& in, pb::HistoryEntry* out);
+
+Result<Endpoint> FromProto(const pb::Endpoint& in);
+Result<TurnRules> FromProto(const pb::TurnRules& in);
+Result<Declaration> FromProto(const pb::Declaration& in);
+Result<ServiceDeclaration> FromProto(const pb::ServiceDeclaration& in);
+Result<Announcement> FromProto(const pb::Announcement& in);
+Result<ChangeRef> FromProto(const pb::ChangeRef& in);
+Result<CommandResponse> FromProto(const pb::CommandResponse& in);
+Result<UpstreamInfo> FromProto(const pb::Upstream& in);
+Result<ServiceChange> FromProto(const pb::ServiceChange& in);
+Result<HistoryEntry> FromProto(const pb::HistoryEntry& in);
+
+}  // namespace cornelhill
--- /dev/null
+++ b/src/control/control_state.cc
@@ -0,0 +1,545 @@
+#include "cornelhill/control/control_state.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+#include <variant>
+
+#include "control/control_proto.h"
+#include "cornelhill/base/hash.h"
+#include "cornelhill/control/control_codec.h"
+#include "cornelhill/wire/data_codec.h"
+
+namespace cornelhill {
+
+namespace {
+
+CommandResponse Respond(CommandOutcome outcome, Revision revision,
+                        std::string message) {
+  return {outcome, revision, std::move(message), {}};
+}
+
+std::string Number(uint64_t value) { return std::to_string(value); }
+
+// Returns what is wrong with a declaration, or an empty text.
+std::string CheckDeclaration(const Declaration& declaration) {
+  if (declaration.services.size() > kMaxServices) {
+    return "declaration of " + Number(declaration.services.size()) +
+           " services is larger than " + Number(kMaxServices);
+  }
+  std::set<std::string> names;
+  std::set<std::string> applications;
+  std::set<std::pair<Endpoint, Protocol>> addresses;
+  for (const ServiceDeclaration& service : declaration.services) {
+    if (service.name.empty() || service.name.size() > kMaxNameBytes) {
+      return "service name \"" + service.name.substr(0, kMaxNameBytes) +
+             "\" is empty or longer than " + Number(kMaxNameBytes) + " bytes";
+    }
+    if (service.application.empty() ||
+        service.application.size() > kMaxNameBytes) {
+      return "service \"" + service.name +
+             "\" has an application name that is empty or longer than " +
+             Number(kMaxNameBytes) + " bytes";
+    }
+    if (!names.insert(service.name).second) {
+      return "service \"" + service.name + "\" is declared twice";
+    }
+    if (!applications.insert(service.application).second) {
+      return "application \"" + service.application +
+             "\" is declared by two services";
+    }
+    if (!addresses.emplace(service.address, service.protocol).second) {
+      return "address " + ToString(service.address) +
+             " is declared by two services";
+    }
+  }
+  return {};
+}
+
+UpstreamInfo InfoOf(const KnownUpstream& known) {
+  UpstreamInfo info;
+  info.instance = known.announcement.instance;
+  info.incarnation = known.announcement.incarnation;
+  info.agent = known.announcement.agent;
+  info.failure_domain = known.announcement.failure_domain;
+  info.slots = known.announcement.slots;
+  info.weight = known.operator_weight != 0 ? known.operator_weight
+                                           : known.announcement.weight;
+  info.draining = known.draining;
+  return info;
+}
+
+}  // namespace
+
+void ControlState::ResponseRing::Add(const std::string& id,
+                                     KeptResponse response) {
+  this->responses.emplace(id, std::move(response));
+  this->order.push_back(id);
+  if (this->order.size() > kKeptResponses) {
+    this->responses.erase(this->order.front());
+    this->order.pop_front();
+  }
+}
+
+ControlState::ResponseRing& ControlState::RingFor(const Command& command) {
+  return command.operator_name.empty() ? this->membership_responses
+                                       : this->operator_responses;
+}
+
+std::optional<CommandResponse> ControlState::ResponseOf(
+    const std::string& request_id) const {
+  for (const ResponseRing* ring :
+       {&this->operator_responses, &this->membership_responses}) {
+    const auto found = ring->responses.find(request_id);
+    if (found != ring->responses.end()) return found->second.response;
+  }
+  return std::nullopt;
+}
+
+CommandResponse ControlState::Apply(Revision revision, const Command& command) {
+  this->Skip(revision);
+  if (command.request_id.empty() ||
+      command.request_id.size() > kMaxRequestIdBytes ||
+      command.operator_name.size() > kMaxNameBytes) {
+    return Respond(
+        CommandOutcome::kInvalid, revision,
+        "request id is empty or longer than " + Number(kMaxRequestIdBytes) +
+            " bytes, or operator name longer than " + Number(kMaxNameBytes));
+  }
+  ResponseRing& ring = this->RingFor(command);
+  const uint64_t command_hash = Hash64(Encode(command));
+  const auto kept = ring.responses.find(command.request_id);
+  if (kept != ring.responses.end()) {
+    if (kept->second.command_hash == command_hash) {
+      return kept->second.response;
+    }
+    return Respond(CommandOutcome::kInvalid, revision,
+                   "request id \"" + command.request_id +
+                       "\" was used for another command");
+  }
+  CommandResponse response = this->Execute(revision, command);
+  ring.Add(command.request_id, {command_hash, response});
+  return response;
+}
+
+void ControlState::Skip(Revision revision) {
+  assert(revision > this->CurrentRevision());
+  this->store.Advance(revision);
+}
+
+CommandResponse ControlState::Execute(Revision revision,
+                                      const Command& command) {
+  return std::visit(
+      [this, revision, &command](const auto& body) {
+        return this->Execute(revision, command, body);
+      },
+      command.body);
+}
+
+CommandResponse ControlState::Execute(Revision revision, const Command& command,
+                                      const PutDeclaration& put) {
+  if (put.base != this->declaration_change.revision) {
+    CommandResponse response = Respond(
+        CommandOutcome::kConflict, revision,
+        "base revision " + Number(put.base.Value()) +
+            " was replaced by revision " +
+            Number(this->declaration_change.revision.Value()) + " of \"" +
+            this->declaration_change.operator_name + "\", request \"" +
+            this->declaration_change.request_id + "\"");
+    response.lost_to = this->declaration_change;
+    return response;
+  }
+  std::string fault = CheckDeclaration(put.declaration);
+  if (!fault.empty()) {
+    return Respond(CommandOutcome::kInvalid, revision, std::move(fault));
+  }
+
+  std::map<std::string, Service> next;
+  size_t added = 0;
+  size_t changed = 0;
+  for (const ServiceDeclaration& declared : put.declaration.services) {
+    Service service;
+    service.declaration = declared;
+    const auto found = this->services.find(declared.name);
+    if (found == this->services.end()) {
+      ++added;
+      this->last_service_id = ServiceId(this->last_service_id.Value() + 1);
+      service.id = this->last_service_id;
+    } else {
+      const ServiceDeclaration& old = found->second.declaration;
+      service.id = found->second.id;
+      service.incarnation = found->second.incarnation;
+      if (old != declared) ++changed;
+      if (old.address != declared.address ||
+          old.protocol != declared.protocol ||
+          old.application != declared.application) {
+        service.incarnation = Incarnation();
+      }
+    }
+    if (service.incarnation == Incarnation()) {
+      this->last_incarnation = Incarnation(this->last_incarnation.Value() + 1);
+      service.incarnation = this->last_incarnation;
+    }
+    next.emplace(declared.name, std::move(service));
+  }
+  size_t removed = 0;
+  for (const auto& [name, service] : this->services) {
+    if (next.contains(name)) continue;
+    ++removed;
+    this->store.Put(revision, service.id, std::nullopt, {});
+  }
+  this->services = std::move(next);
+  for (const auto& [name, service] : this->services) {
+    this->RefreshView(revision, service);
+  }
+  this->declaration_change = {revision, command.operator_name,
+                              command.request_id};
+  this->Record(revision, command,
+               "declaration: " + Number(added) + " added, " + Number(changed) +
+                   " changed, " + Number(removed) + " removed");
+  return Respond(CommandOutcome::kApplied, revision, {});
+}
+
+CommandResponse ControlState::Execute(Revision revision, const Command& command,
+                                      const UpstreamJoin& join) {
+  const Announcement& announcement = join.announcement;
+  if (announcement.application.empty() ||
+      announcement.application.size() > kMaxNameBytes ||
+      announcement.slots == 0 || announcement.slots > kMaxSlots ||
+      announcement.weight == 0 || announcement.weight > kMaxWeight) {
+    return Respond(CommandOutcome::kInvalid, revision,
+                   "upstream " + Number(announcement.instance.Value()) +
+                       " announces no application, or slots or a weight "
+                       "outside 1 to " +
+                       Number(kMaxSlots) + " and 1 to " + Number(kMaxWeight));
+  }
+  // Views and snapshots with more would be refused by their decoders.
+  const auto members = this->by_application.find(announcement.application);
+  if (members != this->by_application.end() &&
+      members->second.size() >= kMaxUpstreamsPerService &&
+      !members->second.contains(announcement.instance)) {
+    return Respond(CommandOutcome::kInvalid, revision,
+                   "application " + announcement.application + " has " +
+                       Number(kMaxUpstreamsPerService) +
+                       " upstreams, the most that one may have");
+  }
+  KnownUpstream next;
+  next.announcement = announcement;
+  next.announcement.sequence = 0;
+  const auto found = this->upstreams.find(announcement.instance);
+  const auto left = this->departed.find(announcement.instance);
+  const bool stale =
+      found != this->upstreams.end()
+          ? announcement.incarnation < found->second.announcement.incarnation
+          : left != this->departed.end() &&
+                announcement.incarnation <= left->second.incarnation;
+  if (stale) {
+    return Respond(
+        CommandOutcome::kStaleIncarnation, revision,
+        "incarnation " + Number(announcement.incarnation.Value()) +
+            " of upstream " + Number(announcement.instance.Value()) +
+            " is not above the last one, " +
+            Number(this->LastIncarnation(announcement.instance).Value()));
+  }
+  std::string former;
+  if (found != this->upstreams.end()) {
+    next.draining = found->second.draining;
+    next.operator_weight = found->second.operator_weight;
+    if (next == found->second) {
+      return Respond(CommandOutcome::kUnchanged, revision, {});
+    }
+    former = found->second.announcement.application;
+    this->by_application[former].erase(announcement.instance);
+    if (this->by_application[former].empty()) {
+      this->by_application.erase(former);
+    }
+  } else if (left != this->departed.end()) {
+    next.draining = left->second.draining;
+    next.operator_weight = left->second.operator_weight;
+    this->departed_order.erase({left->second.revision, left->first});
+    this->departed.erase(left);
+  }
+  this->upstreams[announcement.instance] = std::move(next);
+  this->by_application[announcement.application].insert(announcement.instance);
+  if (!former.empty() && former != announcement.application) {
+    this->RefreshView(revision, former);
+  }
+  this->RefreshView(revision, announcement.application);
+  this->Record(revision, command,
+               "upstream " + Number(announcement.instance.Value()) +
+                   " joined for application " + announcement.application);
+  return Respond(CommandOutcome::kApplied, revision, {});
+}
+
+CommandResponse ControlState::Execute(Revision revision, const Command& command,
+                                      const UpstreamLeave& leave) {
+  const auto found = this->upstreams.find(leave.instance);
+  if (found == this->upstreams.end()) {
+    return Respond(CommandOutcome::kUnchanged, revision, {});
+  }
+  if (leave.incarnation < found->second.announcement.incarnation) {
+    return Respond(CommandOutcome::kStaleIncarnation, revision,
+                   "upstream " + Number(leave.instance.Value()) +
+                       " has joined under incarnation " +
+                       Number(found->second.announcement.incarnation.Value()));
+  }
+  const std::string application = found->second.announcement.application;
+  this->Depart(revision, leave.instance);
+  this->RefreshView(revision, application);
+  this->Record(revision, command,
+               "upstream " + Number(leave.instance.Value()) +
+                   " left application " + application);
+  return Respond(CommandOutcome::kApplied, revision, {});
+}
+
+CommandResponse ControlState::Execute(Revision revision, const Command& command,
+                                      const UpstreamDrain& drain) {
+  const auto found = this->upstreams.find(drain.instance);
+  if (found == this->upstreams.end()) {
+    return Respond(
+        CommandOutcome::kNotFound, revision,
+        "upstream " + Number(drain.instance.Value()) + " is not known");
+  }
+  if (found->second.draining == drain.draining) {
+    return Respond(CommandOutcome::kUnchanged, revision, {});
+  }
+  found->second.draining = drain.draining;
+  this->RefreshView(revision, found->second.announcement.application);
+  this->Record(revision, command,
+               "upstream " + Number(drain.instance.Value()) +
+                   (drain.draining ? " drains" : " drains no longer"));
+  return Respond(CommandOutcome::kApplied, revision, {});
+}
+
+CommandResponse ControlState::Execute(Revision revision, const Command& command,
+                                      const UpstreamWeight& weight) {
+  if (weight.weight > kMaxWeight) {
+    return Respond(
+        CommandOutcome::kInvalid, revision,
+        "weight " + Number(weight.weight) + " is above " + Number(kMaxWeight));
+  }
+  const auto found = this->upstreams.find(weight.instance);
+  if (found == this->upstreams.end()) {
+    return Respond(
+        CommandOutcome::kNotFound, revision,
+        "upstream " + Number(weight.instance.Value()) + " is not known");
+  }
+  if (found->second.operator_weight == weight.weight) {
+    return Respond(CommandOutcome::kUnchanged, revision, {});
+  }
+  found->second.operator_weight = weight.weight;
+  this->RefreshView(revision, found->second.announcement.application);
+  this->Record(revision, command,
+               "upstream " + Number(weight.instance.Value()) + " has weight " +
+                   Number(weight.weight));
+  return Respond(CommandOutcome::kApplied, revision, {});
+}
+
+void ControlState::Depart(Revision revision, InstanceId instance) {
+  const auto found = this->upstreams.find(instance);
+  const KnownUpstream& known = found->second;
+  const std::string& application = known.announcement.application;
+  this->by_application[application].erase(instance);
+  if (this->by_application[application].empty()) {
+    this->by_application.erase(application);
+  }
+  this->departed[instance] = {known.announcement.incarnation, revision,
+                              known.draining, known.operator_weight};
+  this->departed_order.emplace(revision, instance);
+  this->upstreams.erase(found);
+  if (this->departed.size() > kKeptDepartures) {
+    const auto oldest = this->departed_order.begin();
+    this->departed.erase(oldest->second);
+    this->departed_order.erase(oldest);
+  }
+}
+
+void ControlState::RefreshView(Revision revision,
+                               const std::string& application) {
+  for (const auto& [name, service] : this->services) {
+    if (service.declaration.application == application) {
+      this->RefreshView(revision, service);
+      return;
+    }
+  }
+}
+
+void ControlState::RefreshView(Revision revision, const Service& service) {
+  ServiceView view;
+  view.id = service.id;
+  view.incarnation = service.incarnation;
+  view.name = service.declaration.name;
+  view.address = service.declaration.address;
+  view.rules = service.declaration.rules;
+  const auto members =
+      this->by_application.find(service.declaration.application);
+  if (members != this->by_application.end()) {
+    for (const InstanceId instance : members->second) {
+      view.upstreams.push_back(InfoOf(this->upstreams.at(instance)));
+    }
+  }
+  this->store.Put(revision, service.id, view, service.declaration.application);
+}
+
+void ControlState::Record(Revision revision, const Command& command,
+                          std::string summary) {
+  this->history.push_back(
+      {{revision, command.operator_name, command.request_id},
+       std::move(summary)});
+  if (this->history.size() > kMaxHistory) this->history.pop_front();
+}
+
+Declaration ControlState::CurrentDeclaration() const {
+  Declaration declaration;
+  for (const auto& [name, service] : this->services) {
+    declaration.services.push_back(service.declaration);
+  }
+  return declaration;
+}
+
+Incarnation ControlState::LastIncarnation(InstanceId instance) const {
+  const auto found = this->upstreams.find(instance);
+  if (found != this->upstreams.end()) {
+    return found->second.announcement.incarnation;
+  }
+  const auto left = this->departed.find(instance);
+  return left == this->departed.end() ? Incarnation()
+                                      : left->second.incarnation;
+}
+
+std::vector<HistoryEntry> ControlState::History(size_t limit) const {
+  const size_t count = std::min(limit, this->history.size());
+  return {this->history.rbegin(),
+          this->history.rbegin() + static_cast<ptrdiff_t>(count)};
+}
+
+std::string ControlState::Snapshot() const {
+  pb::ControlSnapshot out;
+  out.set_version(kProtocolVersion);
+  out.set_revision(this->CurrentRevision().Value());
+  out.set_last_service_id(this->last_service_id.Value());
+  out.set_last_incarnation(this->last_incarnation.Value());
+  ToProto(this->declaration_change, out.mutable_declaration_change());
+  for (const auto& [name, service] : this->services) {
+    pb::ServiceRecord* record = out.add_services();
+    record->set_id(service.id.Value());
+    record->set_incarnation(service.incarnation.Value());
+    ToProto(service.declaration, record->mutable_declaration());
+  }
+  for (const auto& [instance, known] : this->upstreams) {
+    pb::UpstreamRecord* record = out.add_upstreams();
+    ToProto(known.announcement, record->mutable_announcement());
+    record->set_draining(known.draining);
+    record->set_weight(known.operator_weight);
+  }
+  for (const auto& [instance, left] : this->departed) {
+    pb::DepartedInstance* record = out.add_departed();
+    record->set_instance(instance.Value());
+    record->set_incarnation(left.incarnation.Value());
+    record->set_revision(left.revision.Value());
+    record->set_draining(left.draining);
+    record->set_weight(left.operator_weight);
+  }
+  const auto add_ring = [](const ResponseRing& ring, auto* records) {
+    for (const std::string& id : ring.order) {
+      const KeptResponse& kept = ring.responses.at(id);
+      pb::RequestRecord* record = records->Add();
+      record->set_request_id(id);
+      record->set_command_hash(kept.command_hash);
+      ToProto(kept.response, record->mutable_response());
+    }
+  };
+  add_ring(this->operator_responses, out.mutable_operator_requests());
+  add_ring(this->membership_responses, out.mutable_membership_requests());
+  for (const HistoryEntry& entry : this->history) {
+    ToProto(entry, out.add_history());
+  }
+  for (const ServiceChange& change : this->store.Export()) {
+    ToProto(change, out.add_views());
+  }
+  for (const auto& [id, revision] : this->store.ExportRemovedServices()) {
+    pb::RemovedService* removed = out.add_removed_services();
+    removed->set_id(id.Value());
+    removed->set_revision(revision.Value());
+  }
+  return out.SerializeAsString();
+}
+
+Result<ControlState> ControlState::Restore(std::string_view bytes) {
+  if (bytes.size() > kMaxSnapshotBytes) {
+    return Error{ErrorCode::kTooLarge, "snapshot of " + Number(bytes.size()) +
+                                           " bytes is larger than " +
+                                           Number(kMaxSnapshotBytes)};
+  }
+  pb::ControlSnapshot in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return Error{ErrorCode::kCorrupt, "snapshot of " + Number(bytes.size()) +
+                                          " bytes does not parse"};
+  }
+  if (in.version() != kProtocolVersion) {
+    return Error{ErrorCode::kUnsupportedVersion,
+                 "snapshot version " + Number(in.version()) + " is not " +
+                     Number(kProtocolVersion)};
+  }
+  Result<ControlState> state = [&in]() -> Result<ControlState> {
+    ControlState out;
+    out.last_service_id = ServiceId(in.last_service_id());
+    out.last_incarnation = Incarnation(in.last_incarnation());
+    BOOST_OUTCOME_TRY(change, FromProto(in.declaration_change()));
+    out.declaration_change = std::move(change);
+    for (const pb::ServiceRecord& record : in.services()) {
+      BOOST_OUTCOME_TRY(declaration, FromProto(record.declaration()));
+      const std::string name = declaration.name;
+      out.services[name] = {ServiceId(record.id()),
+                            Incarnation(record.incarnation()),
+                            std::move(declaration)};
+    }
+    for (const pb::UpstreamRecord& record : in.upstreams()) {
+      BOOST_OUTCOME_TRY(announcement, FromProto(record.announcement()));
+      out.by_application[announcement.application].insert(
+          announcement.instance);
+      const InstanceId instance = announcement.instance;
+      out.upstreams[instance] = {std::move(announcement), record.draining(),
+                                 record.weight()};
+    }
+    for (const pb::DepartedInstance& record : in.departed()) {
+      out.departed[InstanceId(record.instance())] = {
+          Incarnation(record.incarnation()), Revision(record.revision()),
+          record.draining(), record.weight()};
+      out.departed_order.emplace(Revision(record.revision()),
+                                 InstanceId(record.instance()));
+    }
+    for (const pb::RequestRecord& record : in.operator_requests()) {
+      BOOST_OUTCOME_TRY(response, FromProto(record.response()));
+      out.operator_responses.Add(record.request_id(),
+                                 {record.command_hash(), std::move(response)});
+    }
+    for (const pb::RequestRecord& record : in.membership_requests()) {
+      BOOST_OUTCOME_TRY(response, FromProto(record.response()));
+      out.membership_responses.Add(
+          record.request_id(), {record.command_hash(), std::move(response)});
+    }
+    for (const pb::HistoryEntry& entry : in.history()) {
+      BOOST_OUTCOME_TRY(read, FromProto(entry));
+      out.history.push_back(std::move(read));
+    }
+    std::vector<ServiceChange> views;
+    for (const pb::ServiceChange& change : in.views()) {
+      BOOST_OUTCOME_TRY(read, FromProto(change));
+      views.push_back(std::move(read));
+    }
+    std::vector<std::pair<ServiceId, Revision>> removed;
+    for (const pb::RemovedService& service : in.removed_services()) {
+      removed.emplace_back(ServiceId(service.id()),
+                           Revision(service.revision()));
+    }
+    out.store = ServiceStore::Import(Revision(in.revision()), views, removed);
+    return out;
+  }();
+  if (state.has_error()) {
+    return Error{ErrorCode::kCorrupt, "snapshot: " + state.error().message};
+  }
+  return state;
+}
+
+}  // namespace cornelhill
--- /dev/null
+++ b/src/control/service_store.cc
@@ -0,0 +1,442 @@
+#include "cornelhill/control/service_store.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <iterator>
+#include <utility>
+
+#include "cornelhill/base/hash.h"
+
+namespace cornelhill {
+
+namespace {
+
+// Lays values out as fixed-width little-endian words, so that the hash does not
+// depend on the protobuf release.
+class Packer {
+ public:
+  void Add(uint64_t value) {
+    for (int shift = 0; shift < 64; shift += 8) {
+      this->bytes.push_back(static_cast<char>(value >> shift));
+    }
+  }
+  void Add(std::string_view text) {
+    this->Add(uint64_t{text.size()});
+    this->bytes.append(text);
+  }
+  uint64_t Hash() const { return Hash64(this->bytes); }
+
+ private:
+  std::string bytes;
+};
+
+void Pack(const TurnRules& rules, Packer* packer) {
+  packer->Add(static_cast<uint64_t>(rules.short_quantum.Count()));
+  packer->Add(uint64_t{rules.short_bytes});
+  packer->Add(uint64_t{rules.short_reserve_permille});
+  packer->Add(uint64_t{rules.straggler_permille});
+  packer->Add(static_cast<uint64_t>(rules.straggler_after.Count()));
+  packer->Add(static_cast<uint64_t>(rules.max_wait.Count()));
+  packer->Add(uint64_t{rules.max_queued_per_caller});
+  packer->Add(uint64_t{rules.max_queued});
+  packer->Add(uint64_t{rules.caller_rate});
+  packer->Add(uint64_t{rules.retry_permille});
+}
+
+uint64_t HashService(const ServiceView& view, std::string_view application) {
+  Packer packer;
+  packer.Add(uint64_t{view.id.Value()});
+  packer.Add(view.incarnation.Value());
+  packer.Add(view.revision.Value());
+  packer.Add(view.name);
+  packer.Add(uint64_t{view.address.address} << 16 | view.address.port);
+  packer.Add(application);
+  Pack(view.rules, &packer);
+  for (const UpstreamInfo& upstream : view.upstreams) {
+    packer.Add(upstream.instance.Value());
+    packer.Add(upstream.incarnation.Value());
+    packer.Add(uint64_t{upstream.agent.address} << 16 | upstream.agent.port);
+    packer.Add(uint64_t{upstream.failure_domain.Value()});
+    packer.Add(uint64_t{upstream.slots});
+    packer.Add(uint64_t{upstream.weight});
+    packer.Add(uint64_t{upstream.draining});
+  }
+  return packer.Hash();
+}
+
+bool HeaderEquals(const ServiceView& a, const ServiceView& b) {
+  return a.incarnation == b.incarnation && a.name == b.name &&
+         a.address == b.address && a.rules == b.rules;
+}
+
+}  // namespace
+
+bool Matches(const Subscription& subscription, std::string_view name,
+             std::string_view application) {
+  return subscription.all ||
+         std::binary_search(subscription.names.begin(),
+                            subscription.names.end(), name) ||
+         std::binary_search(subscription.applications.begin(),
+                            subscription.applications.end(), application);
+}
+
+bool Covers(const Subscription& whole, const Subscription& part) {
+  if (whole.all) return true;
+  return !part.all &&
+         std::includes(whole.names.begin(), whole.names.end(),
+                       part.names.begin(), part.names.end()) &&
+         std::includes(whole.applications.begin(), whole.applications.end(),
+                       part.applications.begin(), part.applications.end());
+}
+
+Subscription Union(const Subscription& a, const Subscription& b) {
+  Subscription out;
+  out.all = a.all || b.all;
+  // Names beside `all` would change the hash but not the services.
+  if (out.all) return out;
+  std::set_union(a.names.begin(), a.names.end(), b.names.begin(), b.names.end(),
+                 std::back_inserter(out.names));
+  std::set_union(a.applications.begin(), a.applications.end(),
+                 b.applications.begin(), b.applications.end(),
+                 std::back_inserter(out.applications));
+  return out;
+}
+
+uint64_t HashSubscription(const Subscription& subscription) {
+  Packer packer;
+  packer.Add(uint64_t{subscription.all});
+  packer.Add(uint64_t{subscription.names.size()});
+  for (const std::string& name : subscription.names) packer.Add(name);
+  for (const std::string& name : subscription.applications) packer.Add(name);
+  return packer.Hash();
+}
+
+void ServiceStore::MoveTo(Revision next) {
+  assert(next >= this->revision);
+  // Checked every 256 revisions, so that a command does not walk all services.
+  constexpr uint64_t kInterval = 256;
+  const bool due =
+      next.Value() / kInterval != this->revision.Value() / kInterval;
+  this->revision = next;
+  if (!due || next.Value() <= kMaxDeltaRevisions) return;
+  const Revision oldest(next.Value() - kMaxDeltaRevisions);
+  const auto is_old = [oldest](const auto& removal) {
+    return removal.second < oldest;
+  };
+  std::erase_if(this->removed, is_old);
+  for (auto& [id, entry] : this->services) {
+    std::erase_if(entry.removals, is_old);
+  }
+}
+
+void ServiceStore::Advance(Revision next) { this->MoveTo(next); }
+
+void ServiceStore::Put(Revision next, ServiceId id,
+                       const std::optional<ServiceView>& view,
+                       std::string_view application) {
+  this->MoveTo(next);
+  if (!view) {
+    if (this->services.erase(id) > 0) this->removed[id] = next;
+    return;
+  }
+  const auto [found, added] = this->services.try_emplace(id);
+  Entry& entry = found->second;
+  if (added) {
+    entry.header_revision = next;
+    entry.application_revision = next;
+  } else {
+    if (entry.view.upstreams == view->upstreams &&
+        HeaderEquals(entry.view, *view) && entry.application == application) {
+      return;
+    }
+    if (!HeaderEquals(entry.view, *view)) entry.header_revision = next;
+    if (entry.application != application) {
+      entry.header_revision = next;
+      entry.application_revision = next;
+    }
+  }
+
+  std::map<InstanceId, size_t> before;
+  for (size_t i = 0; i < entry.view.upstreams.size(); ++i) {
+    before.emplace(entry.view.upstreams[i].instance, i);
+  }
+  std::vector<Revision> changed;
+  for (const UpstreamInfo& upstream : view->upstreams) {
+    const auto old = before.find(upstream.instance);
+    const bool same =
+        old != before.end() && entry.view.upstreams[old->second] == upstream;
+    changed.push_back(same ? entry.changed[old->second] : next);
+    if (old != before.end()) before.erase(old);
+    entry.removals.erase(upstream.instance);
+  }
+  for (const auto& [instance, index] : before) entry.removals[instance] = next;
+
+  entry.view = *view;
+  entry.view.revision = next;
+  entry.application = application;
+  entry.changed = std::move(changed);
+  entry.hash = HashService(entry.view, entry.application);
+}
+
+const ServiceView* ServiceStore::Find(ServiceId id) const {
+  const auto found = this->services.find(id);
+  return found == this->services.end() ? nullptr : &found->second.view;
+}
+
+const ServiceView* ServiceStore::FindByName(std::string_view name) const {
+  for (const auto& [id, entry] : this->services) {
+    if (entry.view.name == name) return &entry.view;
+  }
+  return nullptr;
+}
+
+std::vector<const ServiceView*> ServiceStore::Views() const {
+  std::vector<const ServiceView*> views;
+  views.reserve(this->services.size());
+  for (const auto& [id, entry] : this->services) views.push_back(&entry.view);
+  return views;
+}
+
+std::string_view ServiceStore::ApplicationOf(ServiceId id) const {
+  const auto found = this->services.find(id);
+  if (found == this->services.end()) return {};
+  return found->second.application;
+}
+
+std::optional<ServiceDigest> ServiceStore::DigestOf(ServiceId id) const {
+  const auto found = this->services.find(id);
+  if (found == this->services.end()) return std::nullopt;
+  const Entry& entry = found->second;
+  return ServiceDigest{id, entry.view.incarnation, entry.view.revision,
+                       entry.hash};
+}
+
+uint64_t ServiceStore::Hash(const Subscription& subscription) const {
+  uint64_t hash = 0;
+  for (const auto& [id, entry] : this->services) {
+    if (Matches(subscription, entry.view.name, entry.application)) {
+      hash = HashCombine(hash, entry.hash);
+    }
+  }
+  return hash;
+}
+
+ServiceChange ServiceStore::ChangeSince(const Entry& entry, Revision from,
+                                        bool whole) {
+  ServiceChange change;
+  change.id = entry.view.id;
+  change.incarnation = entry.view.incarnation;
+  change.revision = entry.view.revision;
+  change.whole = whole;
+  change.has_header = whole || entry.header_revision > from;
+  if (change.has_header) {
+    change.header = {entry.header_revision, entry.view.name,
+                     entry.view.address,    entry.view.rules,
+                     entry.application,     entry.application_revision};
+  }
+  for (size_t i = 0; i < entry.view.upstreams.size(); ++i) {
+    if (whole || entry.changed[i] > from) {
+      change.upstreams.push_back({entry.view.upstreams[i], entry.changed[i]});
+    }
+  }
+  for (const auto& [instance, at] : entry.removals) {
+    if (!whole && at > from) change.removals.push_back({instance, at});
+  }
+  return change;
+}
+
+StoreUpdate ServiceStore::UpdateSince(Revision from,
+                                      const Subscription& subscription) const {
+  if (from == Revision() || from > this->revision || from < this->floor ||
+      this->revision.Value() - from.Value() > kMaxDeltaRevisions) {
+    return this->Whole(subscription);
+  }
+  StoreUpdate update;
+  update.from = from;
+  update.revision = this->revision;
+  update.hash = this->Hash(subscription);
+  for (const auto& [id, entry] : this->services) {
+    if (entry.view.revision <= from) continue;
+    if (Matches(subscription, entry.view.name, entry.application)) {
+      // A subscriber that gained the service by a change of its application
+      // has no earlier part of it.
+      update.services.push_back(
+          ChangeSince(entry, from, entry.application_revision > from));
+    } else if (entry.application_revision > from) {
+      ServiceChange gone;
+      gone.id = id;
+      gone.revision = entry.application_revision;
+      gone.removed = true;
+      update.services.push_back(std::move(gone));
+    }
+  }
+  for (const auto& [id, at] : this->removed) {
+    if (at <= from) continue;
+    ServiceChange gone;
+    gone.id = id;
+    gone.revision = at;
+    gone.removed = true;
+    update.services.push_back(std::move(gone));
+  }
+  return update;
+}
+
+StoreUpdate ServiceStore::Whole(const Subscription& subscription) const {
+  StoreUpdate update;
+  update.revision = this->revision;
+  update.whole = true;
+  update.hash = this->Hash(subscription);
+  for (const auto& [id, entry] : this->services) {
+    if (Matches(subscription, entry.view.name, entry.application)) {
+      update.services.push_back(ChangeSince(entry, Revision(), true));
+    }
+  }
+  return update;
+}
+
+void ServiceStore::ApplyChange(const ServiceChange& change, Entry* entry) {
+  if (change.whole) {
+    // The removals stay: a process below may be behind them.
+    for (const UpstreamInfo& upstream : entry->view.upstreams) {
+      entry->removals[upstream.instance] = change.revision;
+    }
+    entry->view.upstreams.clear();
+    entry->changed.clear();
+  }
+  entry->view.id = change.id;
+  entry->view.incarnation = change.incarnation;
+  entry->view.revision = change.revision;
+  if (change.has_header) {
+    entry->header_revision = change.header.revision;
+    entry->view.name = change.header.name;
+    entry->view.address = change.header.address;
+    entry->view.rules = change.header.rules;
+    entry->application = change.header.application;
+    entry->application_revision = change.header.application_revision;
+  }
+
+  std::map<InstanceId, UpstreamChange> merged;
+  for (size_t i = 0; i < entry->view.upstreams.size(); ++i) {
+    merged[entry->view.upstreams[i].instance] = {entry->view.upstreams[i],
+                                                 entry->changed[i]};
+  }
+  for (const UpstreamRemoval& removal : change.removals) {
+    merged.erase(removal.instance);
+    entry->removals[removal.instance] = removal.revision;
+  }
+  for (const UpstreamChange& upstream : change.upstreams) {
+    merged[upstream.upstream.instance] = upstream;
+    entry->removals.erase(upstream.upstream.instance);
+  }
+  entry->view.upstreams.clear();
+  entry->changed.clear();
+  for (const auto& [instance, upstream] : merged) {
+    entry->view.upstreams.push_back(upstream.upstream);
+    entry->changed.push_back(upstream.revision);
+  }
+  entry->hash = HashService(entry->view, entry->application);
+}
+
+Result<void> ServiceStore::Apply(const StoreUpdate& update,
+                                 const Subscription& subscription) {
+  if (update.revision < this->revision) {
+    return Fail(
+        ErrorCode::kConflict,
+        "update to revision " + std::to_string(update.revision.Value()) +
+            " is below revision " + std::to_string(this->revision.Value()));
+  }
+  if (!update.whole && update.from > this->revision) {
+    return Fail(ErrorCode::kConflict,
+                "update from revision " + std::to_string(update.from.Value()) +
+                    " starts above revision " +
+                    std::to_string(this->revision.Value()));
+  }
+  // Applied to a copy of what changes, so that a wrong hash changes nothing.
+  std::map<ServiceId, std::optional<Entry>> changes;
+  for (const ServiceChange& change : update.services) {
+    if (change.removed) {
+      changes[change.id] = std::nullopt;
+      continue;
+    }
+    const auto found = this->services.find(change.id);
+    // A change that this store has already: the update started earlier.
+    if (found != this->services.end() && !update.whole &&
+        found->second.view.revision >= change.revision) {
+      continue;
+    }
+    Entry entry;
+    if (found != this->services.end()) entry = found->second;
+    ApplyChange(change, &entry);
+    changes[change.id] = std::move(entry);
+  }
+  if (update.whole) {
+    for (const auto& [id, entry] : this->services) {
+      changes.try_emplace(id, std::nullopt);
+    }
+  }
+
+  uint64_t hash = 0;
+  const auto add = [&hash, &subscription](const Entry& entry) {
+    if (Matches(subscription, entry.view.name, entry.application)) {
+      hash = HashCombine(hash, entry.hash);
+    }
+  };
+  auto kept = this->services.begin();
+  for (const auto& [id, entry] : changes) {
+    for (; kept != this->services.end() && kept->first < id; ++kept) {
+      add(kept->second);
+    }
+    if (kept != this->services.end() && kept->first == id) ++kept;
+    if (entry) add(*entry);
+  }
+  for (; kept != this->services.end(); ++kept) add(kept->second);
+  if (hash != update.hash) {
+    return Fail(ErrorCode::kConflict,
+                "update to revision " +
+                    std::to_string(update.revision.Value()) +
+                    " leads to another hash than it states");
+  }
+
+  for (auto& [id, entry] : changes) {
+    if (entry && Matches(subscription, entry->view.name, entry->application)) {
+      this->services[id] = std::move(*entry);
+    } else if (this->services.erase(id) > 0) {
+      this->removed[id] = update.revision;
+    }
+  }
+  this->MoveTo(update.revision);
+  if (update.whole) this->floor = update.revision;
+  return boost::outcome_v2::success();
+}
+
+std::vector<ServiceChange> ServiceStore::Export() const {
+  std::vector<ServiceChange> out;
+  for (const auto& [id, entry] : this->services) {
+    ServiceChange change = ChangeSince(entry, Revision(), true);
+    for (const auto& [instance, at] : entry.removals) {
+      change.removals.push_back({instance, at});
+    }
+    out.push_back(std::move(change));
+  }
+  return out;
+}
+
+std::vector<std::pair<ServiceId, Revision>>
+ServiceStore::ExportRemovedServices() const {
+  return {this->removed.begin(), this->removed.end()};
+}
+
+ServiceStore ServiceStore::Import(
+    Revision revision, const std::vector<ServiceChange>& services,
+    const std::vector<std::pair<ServiceId, Revision>>& removed) {
+  ServiceStore store;
+  store.revision = revision;
+  for (const ServiceChange& change : services) {
+    ApplyChange(change, &store.services[change.id]);
+  }
+  store.removed.insert(removed.begin(), removed.end());
+  return store;
+}
+
+}  // namespace cornelhill
--- /dev/null
+++ b/tests/control/control_state_test.cc
@@ -0,0 +1,212 @@
+#include "cornelhill/control/control_state.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+#include "cornelhill/base/random.h"
+#include "tests/naive/single_copy_control.h"
+
+namespace cornelhill {
+namespace {
+
+ServiceDeclaration Declare(const std::string& name, uint16_t port) {
+  ServiceDeclaration service;
+  service.name = name;
+  service.address = {0x7f000a01, port};
+  service.application = name + "-app";
+  return service;
+}
+
+Announcement Announce(uint64_t instance, uint64_t incarnation,
+                      const std::string& application) {
+  Announcement announcement;
+  announcement.instance = InstanceId(instance);
+  announcement.incarnation = Incarnation(incarnation);
+  announcement.application = application;
+  announcement.agent = {0x7f000101, static_cast<uint16_t>(instance)};
+  announcement.slots = 2;
+  return announcement;
+}
+
+Command Put(const std::string& id, const std::string& who, uint64_t base,
+            std::vector<ServiceDeclaration> services) {
+  return {id, who, PutDeclaration{Revision(base), {std::move(services)}}};
+}
+
+// Draws a command; a quarter of them repeat an earlier request.
+Command Draw(Random* random, Revision last_base,
+             std::vector<Command>* earlier) {
+  if (!earlier->empty() && random->Chance(0.25)) {
+    return (*earlier)[random->Below(earlier->size())];
+  }
+  const std::string id = "r" + std::to_string(earlier->size());
+  const uint64_t instance = 1 + random->Below(12);
+  const std::string application =
+      "s" + std::to_string(random->Below(4)) + "-app";
+  Command command{id, "ana", {}};
+  switch (random->Below(5)) {
+    case 0: {
+      std::vector<ServiceDeclaration> services;
+      for (int i = 0; i < 4; ++i) {
+        if (random->Chance(0.2)) continue;
+        services.push_back(
+            Declare("s" + std::to_string(i), static_cast<uint16_t>(80 + i)));
+        if (random->Chance(0.1)) services.back().address.port = 99;
+        if (random->Chance(0.2)) services.back().rules.max_queued = 7;
+        if (random->Chance(0.1)) services.back().application = "s0-app";
+      }
+      const uint64_t base = random->Chance(0.6)
+                                ? last_base.Value()
+                                : random->Below(last_base.Value() + 1);
+      command.body = PutDeclaration{Revision(base), {services}};
+      break;
+    }
+    case 1:
+    case 2: {
+      command.operator_name = "";
+      Announcement announcement =
+          Announce(instance, 1 + random->Below(20), application);
+      announcement.slots = 1 + static_cast<uint32_t>(random->Below(3));
+      command.body = UpstreamJoin{announcement};
+      break;
+    }
+    case 3:
+      command.operator_name = "";
+      command.body =
+          UpstreamLeave{InstanceId(instance), Incarnation(random->Below(20))};
+      break;
+    default:
+      if (random->Chance(0.5)) {
+        command.body = UpstreamDrain{InstanceId(instance), random->Chance(0.5)};
+      } else {
+        command.body = UpstreamWeight{InstanceId(instance),
+                                      static_cast<uint32_t>(random->Below(3))};
+      }
+  }
+  earlier->push_back(command);
+  return command;
+}
+
+// Guards against a state machine that differs from one plain copy: in who wins,
+// in the response of a retry, in a view or its revision, in reused service ids;
+// and against a difference after snapshot and restore at any point.
+Test(control_state, equals_a_single_copy) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    Random random(seed);
+    ControlState state;
+    naive::SingleCopyControl single;
+    std::vector<Command> earlier;
+    for (uint64_t i = 1; i <= 600; ++i) {
+      const Revision revision(i);
+      const Command command =
+          Draw(&random, state.DeclarationChange().revision, &earlier);
+      const CommandResponse got = state.Apply(revision, command);
+      const CommandResponse want = single.Apply(revision, command);
+      cr_assert(got.outcome == want.outcome && got.revision == want.revision &&
+                    got.lost_to == want.lost_to,
+                "seed %lu revision %lu: outcome %d, single copy %d", seed, i,
+                static_cast<int>(got.outcome), static_cast<int>(want.outcome));
+      cr_assert_eq(state.Store().Views().size(), single.Views().size());
+      for (const auto& [name, view] : single.Views()) {
+        const ServiceView* found = state.ViewOf(view.id);
+        cr_assert(found != nullptr && *found == view,
+                  "seed %lu revision %lu service %s", seed, i, name.c_str());
+      }
+      if (random.Chance(0.02)) {
+        Result<ControlState> restored = ControlState::Restore(state.Snapshot());
+        cr_assert(restored.has_value());
+        cr_assert(restored.value().Snapshot() == state.Snapshot());
+        state = std::move(restored.value());
+      }
+    }
+  }
+}
+
+// Guards against two winners of one base, and against a loser who is not told
+// to which change, whose and of which request.
+Test(control_state, one_winner_for_a_base) {
+  ControlState state;
+  cr_assert(state.Apply(Revision(1), Put("a1", "ana", 0, {Declare("x", 1)}))
+                .outcome == CommandOutcome::kApplied);
+  cr_assert(state.Apply(Revision(2), Put("a2", "ana", 1, {Declare("x", 2)}))
+                .outcome == CommandOutcome::kApplied);
+  const CommandResponse lost =
+      state.Apply(Revision(3), Put("b1", "bob", 1, {Declare("x", 3)}));
+  cr_assert(lost.outcome == CommandOutcome::kConflict);
+  cr_assert(lost.lost_to == (ChangeRef{Revision(2), "ana", "a2"}));
+  cr_assert(state.CurrentDeclaration().services[0].address.port == 2);
+}
+
+// Guards against a retry that runs again, or gets another response, after a
+// snapshot; and against an operator's response pushed out by a restart of more
+// agents than responses are kept.
+Test(control_state, response_survives_restore_and_mass_joins) {
+  ControlState state;
+  const Command put = Put("a1", "ana", 0, {Declare("x", 1)});
+  const CommandResponse first = state.Apply(Revision(1), put);
+  uint64_t revision = 1;
+  for (uint64_t i = 0; i < 2 * kKeptResponses; ++i) {
+    state.Apply(
+        Revision(++revision),
+        {"j" + std::to_string(i), "",
+         UpstreamJoin{Announce(1 + i, 1, "x" + std::to_string(i % 64))}});
+  }
+  cr_assert(!state.ResponseOf("j0").has_value());
+  cr_assert(state.ResponseOf("j" + std::to_string(kKeptResponses)).has_value());
+  Result<ControlState> restored = ControlState::Restore(state.Snapshot());
+  cr_assert(restored.has_value());
+  cr_assert(restored.value().Apply(Revision(revision + 1), put) == first);
+}
+
+// Guards against packets of an old life of a service or upstream that are taken
+// for the present one.
+Test(control_state, ids_and_incarnations_are_not_reused) {
+  ControlState state;
+  state.Apply(Revision(1), Put("1", "ana", 0, {Declare("x", 1)}));
+  const ServiceView first = *state.Store().FindByName("x");
+  state.Apply(Revision(2), Put("2", "ana", 1, {Declare("x", 2)}));
+  const ServiceView moved = *state.Store().FindByName("x");
+  cr_assert(moved.id == first.id && moved.incarnation > first.incarnation);
+  state.Apply(Revision(3), Put("3", "ana", 2, {}));
+  state.Apply(Revision(4), Put("4", "ana", 3, {Declare("x", 1)}));
+  const ServiceView again = *state.Store().FindByName("x");
+  cr_assert(again.id > first.id && again.incarnation > moved.incarnation);
+
+  state.Apply(Revision(5), {"5", "", UpstreamJoin{Announce(9, 4, "x-app")}});
+  state.Apply(Revision(6),
+              {"6", "", UpstreamLeave{InstanceId(9), Incarnation(4)}});
+  cr_assert(
+      state.Apply(Revision(7), {"7", "", UpstreamJoin{Announce(9, 4, "x-app")}})
+          .outcome == CommandOutcome::kStaleIncarnation);
+}
+
+// Guards against an instance that serves two services at once (invariant 2).
+Test(control_state, moving_instance_leaves_its_former_service) {
+  ControlState state;
+  state.Apply(Revision(1),
+              Put("1", "ana", 0, {Declare("x", 1), Declare("y", 2)}));
+  state.Apply(Revision(2), {"2", "", UpstreamJoin{Announce(9, 1, "x-app")}});
+  state.Apply(Revision(3), {"3", "", UpstreamJoin{Announce(9, 2, "y-app")}});
+  cr_assert(state.Store().FindByName("x")->upstreams.empty());
+  cr_assert_eq(state.Store().FindByName("y")->upstreams.size(), 1);
+}
+
+// Guards against a crash on a damaged snapshot.
+Test(control_state, restore_survives_damaged_bytes) {
+  ControlState state;
+  state.Apply(Revision(1), Put("1", "ana", 0, {Declare("x", 1)}));
+  state.Apply(Revision(2), {"2", "", UpstreamJoin{Announce(9, 1, "x-app")}});
+  const std::string valid = state.Snapshot();
+  Random random(20261204);
+  for (int round = 0; round < 500; ++round) {
+    std::string bytes = valid;
+    bytes[random.Below(bytes.size())] = static_cast<char>(random.Next());
+    if (random.Chance(0.3)) bytes.resize(random.Below(bytes.size()));
+    (void)ControlState::Restore(bytes);
+  }
+}
+
+}  // namespace
+}  // namespace cornelhill
