--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -2,9 +2,10 @@
     -Wno-missing-field-initializers)
 
 # Adds the library cornelhill_NAME from src/NAME/*.cc and, where tests/NAME
-# holds sources, its one test program test_NAME.
+# holds sources, its one test program test_NAME. WHOLE_ARCHIVE links all of the
+# library into its test program, for sources that only register themselves.
 function(cornelhill_library name)
-  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  cmake_parse_arguments(ARG "WHOLE_ARCHIVE" "" "LINK" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cc)
   set(target cornelhill_${name})
   if(sources)
@@ -25,7 +26,12 @@
     add_executable(test_${name} ${tests})
     target_include_directories(test_${name} PRIVATE ${CMAKE_SOURCE_DIR})
     target_compile_options(test_${name} PRIVATE ${CORNELHILL_WARNINGS})
-    target_link_libraries(test_${name} PRIVATE ${target} PkgConfig::CRITERION)
+    if(ARG_WHOLE_ARCHIVE)
+      set(linked $<LINK_LIBRARY:WHOLE_ARCHIVE,${target}>)
+    else()
+      set(linked ${target})
+    endif()
+    target_link_libraries(test_${name} PRIVATE ${linked} PkgConfig::CRITERION)
     add_test(NAME ${name} COMMAND test_${name}
              WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
   endif()
--- /dev/null
+++ b/src/ingress/udp_plugin.cc
@@ -0,0 +1,90 @@
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "cornelhill/ingress/ingress.h"
+#include "cornelhill/wire/data_codec.h"
+
+namespace cornelhill {
+
+namespace {
+
+// Decodes the header of a datagram and checks what holds in both directions.
+Result<CallerDatagram> ReadHeader(const Encapsulated& packet) {
+  if (packet.flow.protocol != Protocol::kUdp) {
+    return Error{
+        ErrorCode::kInvalidArgument,
+        "udp plug-in was given a packet of flow " + ToString(packet.flow)};
+  }
+  BOOST_OUTCOME_TRY(datagram, DecodeCallerDatagram(packet.payload));
+  // Zero means "the flow open under this key", which a datagram never says.
+  if (datagram.nonce == FlowNonce()) {
+    return Error{ErrorCode::kMalformed,
+                 "datagram of flow " + ToString(packet.flow) + " has no nonce"};
+  }
+  return datagram;
+}
+
+Result<PacketInfo> Read(const Encapsulated& packet) {
+  BOOST_OUTCOME_TRY(datagram, ReadHeader(packet));
+  if (datagram.refused) {
+    return Error{ErrorCode::kMalformed, "datagram from caller of flow " +
+                                            ToString(packet.flow) +
+                                            " carries a refusal"};
+  }
+  PacketInfo info;
+  info.flow = packet.flow;
+  info.nonce = datagram.nonce;
+  info.request = datagram.request;
+  info.first = datagram.first;
+  info.last = datagram.last;
+  info.repeatable = datagram.repeatable;
+  info.cancel = datagram.cancel;
+  info.deadline = datagram.deadline;
+  return info;
+}
+
+Result<Encapsulated> Refuse(const PacketInfo& original, const Refusal& refusal,
+                            std::string_view /*original_bytes*/) {
+  CallerDatagram datagram;
+  datagram.nonce = original.nonce;
+  datagram.request = original.request;
+  datagram.last = true;
+  datagram.refused = true;
+  datagram.refusal = refusal;
+  return Encapsulated{original.flow, Encode(datagram)};
+}
+
+Result<Encapsulated> Wrap(const PacketInfo& packet, std::string payload) {
+  return Encapsulated{packet.flow, std::move(payload)};
+}
+
+Result<AnswerInfo> ReadAnswer(const Encapsulated& packet) {
+  BOOST_OUTCOME_TRY(datagram, ReadHeader(packet));
+  AnswerInfo info;
+  info.flow = packet.flow;
+  info.nonce = datagram.nonce;
+  info.request = datagram.request;
+  info.last = datagram.last || datagram.refused;
+  info.refused = datagram.refused;
+  info.refusal = datagram.refusal;
+  return info;
+}
+
+Result<Encapsulated> Cancel(const PacketInfo& original,
+                            std::string_view /*original_bytes*/) {
+  CallerDatagram datagram;
+  datagram.nonce = original.nonce;
+  datagram.request = original.request;
+  datagram.cancel = true;
+  return Encapsulated{original.flow, Encode(datagram)};
+}
+
+const Registration<IngressPlugin> ingress_registration("udp", {Read, Refuse});
+const Registration<DeliveryPlugin> delivery_registration("udp",
+                                                         {Wrap, ReadAnswer,
+                                                          Cancel});
+
+}  // namespace
+
+}  // namespace cornelhill
--- /dev/null
+++ b/tests/ingress/plugins_test.cc
@@ -0,0 +1,339 @@
+#include <criterion/criterion.h>
+#include <tins/icmp.h>
+#include <tins/ip.h>
+#include <tins/rawpdu.h>
+#include <tins/tcp.h>
+#include <tins/udp.h>
+
+#include <exception>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cornelhill/base/random.h"
+#include "cornelhill/ingress/ingress.h"
+#include "cornelhill/wire/data_codec.h"
+
+namespace cornelhill {
+namespace {
+
+constexpr Endpoint kCaller{0x0a000005, 40001};
+constexpr Endpoint kService{0x0a00ff01, 443};
+constexpr FlowKey kTcpFlow{kCaller, kService, Protocol::kTcp};
+constexpr FlowKey kUdpFlow{kCaller, kService, Protocol::kUdp};
+
+const IngressPlugin& Ingress(const std::string& name) {
+  const IngressPlugin* plugin = IngressRegistry::Global().Find(name);
+  cr_assert_not_null(plugin);
+  return *plugin;
+}
+
+const DeliveryPlugin& Delivery(const std::string& name) {
+  const DeliveryPlugin* plugin = DeliveryRegistry::Global().Find(name);
+  cr_assert_not_null(plugin);
+  return *plugin;
+}
+
+// The tunnel: what one side encodes, the other decodes.
+Encapsulated Carry(const Encapsulated& packet) {
+  return DecodeEncapsulated(Encode(packet)).value();
+}
+
+std::string Serialize(Tins::IP* ip) {
+  const std::vector<uint8_t> bytes = ip->serialize();
+  return {bytes.begin(), bytes.end()};
+}
+
+Tins::IP Header(bool from_service) {
+  const Tins::IPv4Address caller("10.0.0.5");
+  const Tins::IPv4Address service("10.0.255.1");
+  return from_service ? Tins::IP(caller, service) : Tins::IP(service, caller);
+}
+
+Tins::IP Parsed(const std::string& bytes) {
+  return {reinterpret_cast<const uint8_t*>(bytes.data()),
+          static_cast<uint32_t>(bytes.size())};
+}
+
+std::string Tcp(bool from_service, int flags, uint32_t sequence,
+                uint32_t acknowledgement, const std::string& data = "") {
+  Tins::TCP tcp = from_service ? Tins::TCP(kCaller.port, kService.port)
+                               : Tins::TCP(kService.port, kCaller.port);
+  tcp.flags(flags);
+  tcp.seq(sequence);
+  tcp.ack_seq(acknowledgement);
+  tcp.mss(1460);
+  Tins::IP ip = Header(from_service) / tcp;
+  if (!data.empty()) ip = ip / Tins::RawPDU(data);
+  return Serialize(&ip);
+}
+
+constexpr int kSyn = Tins::TCP::SYN;
+constexpr int kAck = Tins::TCP::ACK;
+constexpr int kFin = Tins::TCP::FIN;
+constexpr int kRst = Tins::TCP::RST;
+
+// Guards against a flow whose packets get another key, nonce or mark on the way
+// to the upstream or back, and against a packet that is changed on the way.
+Test(ip_plugin, tcp_flow_passes_in_both_directions) {
+  struct Step {
+    bool from_service;
+    std::string bytes;
+    FlowNonce nonce;
+    bool first, last;
+  };
+  const FlowNonce nonce(uint64_t{1} << 32 | 1000);
+  const FlowNonce open;
+  for (const Step& step : {
+           Step{false, Tcp(false, kSyn, 1000, 0), nonce, true, false},
+           Step{true, Tcp(true, kSyn | kAck, 7000, 1001), nonce, false, false},
+           Step{false, Tcp(false, kAck, 1001, 7001), open, false, false},
+           Step{false, Tcp(false, kAck, 1001, 7001, "odd"), open, false, false},
+           Step{true, Tcp(true, kAck, 7001, 1004, "even"), open, false, false},
+           Step{true, Tcp(true, kFin | kAck, 7005, 1004), open, false, true},
+           Step{false, Tcp(false, kFin | kAck, 1004, 7006), open, false, true},
+       }) {
+    const Encapsulated packet = Carry({kTcpFlow, step.bytes});
+    if (step.from_service) {
+      const Result<AnswerInfo> answer = Delivery("ip").read_answer(packet);
+      cr_assert(answer.has_value());
+      const AnswerInfo expected{
+          .flow = kTcpFlow, .nonce = step.nonce, .last = step.last};
+      cr_assert(answer.value() == expected);
+      continue;
+    }
+    const Result<PacketInfo> read = Ingress("ip").read(packet);
+    cr_assert(read.has_value());
+    const PacketInfo expected{.flow = kTcpFlow,
+                              .nonce = step.nonce,
+                              .first = step.first,
+                              .last = step.last};
+    cr_assert(read.value() == expected);
+    const Encapsulated wrapped =
+        Delivery("ip").wrap(read.value(), packet.payload).value();
+    cr_assert(Carry(wrapped) == packet);
+  }
+  cr_assert(
+      Ingress("ip").read({kTcpFlow, Tcp(false, kRst, 1004, 0)}).value().reset);
+  cr_assert(Delivery("ip")
+                .read_answer({kTcpFlow, Tcp(true, kRst, 7005, 0)})
+                .value()
+                .reset);
+}
+
+// Guards against two uses of one key being taken for one flow, and against a
+// sequence number of zero being read as "no nonce".
+Test(ip_plugin, another_sequence_number_is_another_nonce) {
+  const auto read = [](uint32_t sequence) {
+    return Ingress("ip")
+        .read({kTcpFlow, Tcp(false, kSyn, sequence, 0)})
+        .value()
+        .nonce;
+  };
+  cr_assert(read(0) != FlowNonce());
+  cr_assert(read(0) != read(1));
+  cr_assert(read(1) == read(1));
+}
+
+// Guards against a refusal that the caller's TCP ignores: it accepts a reset of
+// a SYN only if it acknowledges the SYN and comes from the service's address.
+Test(ip_plugin, refusal_of_a_syn_is_an_acceptable_reset) {
+  // With data, as of TCP Fast Open, and with a sequence number that wraps.
+  const std::string syn = Tcp(false, kSyn, 0xfffffffe, 0, "abc");
+  const PacketInfo original = Ingress("ip").read({kTcpFlow, syn}).value();
+  const Refusal refusal{Verdict::kNotRun, Reason::kOverload, Millis(40)};
+  const Encapsulated packet =
+      Carry(Ingress("ip").refuse(original, refusal, syn).value());
+  cr_assert(packet.flow == kTcpFlow);
+  const Result<AnswerInfo> read = Delivery("ip").read_answer(packet);
+  cr_assert(read.has_value(), "checksums or addresses are wrong");
+  cr_assert(read.value().reset);
+  const Tins::IP ip = Parsed(packet.payload);
+  const auto& tcp = ip.rfind_pdu<Tins::TCP>();
+  cr_assert_eq(tcp.flags(), kRst | kAck);
+  cr_assert_eq(tcp.seq(), 0);
+  cr_assert_eq(tcp.ack_seq(), 2);
+
+  // A segment with ACK gets the sequence number that its sender expects next;
+  // a reset gets no answer, or two sides could answer each other for ever.
+  const std::string data = Tcp(false, kAck, 1001, 7001, "abc");
+  const Encapsulated late =
+      Ingress("ip").refuse(original, refusal, data).value();
+  const Tins::IP late_ip = Parsed(late.payload);
+  cr_assert_eq(late_ip.rfind_pdu<Tins::TCP>().flags(), kRst);
+  cr_assert_eq(late_ip.rfind_pdu<Tins::TCP>().seq(), 7001);
+  cr_assert(Ingress("ip")
+                .refuse(original, refusal, Tcp(false, kRst, 1, 0))
+                .has_error());
+}
+
+// Guards against a cancellation that the upstream's TCP ignores: it accepts a
+// reset only with the sequence number that it expects next.
+Test(ip_plugin, cancel_resets_at_the_next_sequence_number) {
+  const std::string data = Tcp(false, kAck, 1001, 7001, "abc");
+  const PacketInfo original = Ingress("ip").read({kTcpFlow, data}).value();
+  const Encapsulated packet =
+      Carry(Delivery("ip").cancel(original, data).value());
+  cr_assert(Ingress("ip").read(packet).value().reset);
+  const Tins::IP ip = Parsed(packet.payload);
+  cr_assert_eq(ip.rfind_pdu<Tins::TCP>().seq(), 1004);
+}
+
+// Guards against reading a packet that the upstream would not accept as the
+// same segment, or that belongs to another flow or service.
+Test(ip_plugin, refuses_what_is_not_one_whole_segment_of_the_flow) {
+  const std::string valid = Tcp(false, kAck, 1001, 7001, "payload");
+  struct Case {
+    const char* what;
+    std::string bytes;
+  };
+  std::vector<Case> cases = {{"empty", ""},
+                             {"truncated", valid.substr(0, valid.size() - 1)},
+                             {"header only", valid.substr(0, 20)},
+                             {"trailing byte", valid + "x"}};
+  const auto changed = [&](const char* what, size_t at, char value) {
+    Case result{what, valid};
+    result.bytes[at] = value;
+    cases.push_back(result);
+  };
+  changed("IP header length below 5", 0, 0x44);
+  changed("IP header length beyond the packet", 0, 0x4f);
+  changed("IP version 6", 0, 0x65);
+  changed("IP checksum", 10, static_cast<char>(valid[10] ^ 1));
+  changed("TCP checksum", 36, static_cast<char>(valid[36] ^ 1));
+  changed("TCP data", valid.size() - 1, '!');
+  changed("TCP header length below 5", 32, 0x40);
+  changed("TCP header length beyond the packet", 32, static_cast<char>(0xf0));
+  const auto built = [&](const char* what, Tins::IP ip) {
+    cases.push_back({what, Serialize(&ip)});
+  };
+  const Tins::TCP ack = [] {
+    Tins::TCP tcp(kService.port, kCaller.port);
+    tcp.flags(kAck);
+    return tcp;
+  }();
+  Tins::IP fragment = Header(false) / ack;
+  fragment.flags(Tins::IP::MORE_FRAGMENTS);
+  built("first fragment", fragment);
+  fragment.flags(Tins::IP::FLAG_RESERVED);
+  fragment.fragment_offset(8);
+  built("later fragment", fragment);
+  built("UDP", Header(false) / Tins::UDP(kService.port, kCaller.port));
+  built("ICMP", Header(false) / Tins::ICMP());
+  built("TCP in an IP tunnel", Header(false) / Header(false) / ack);
+  cases.push_back({"SYN and FIN", Tcp(false, kSyn | kFin, 1, 0)});
+  cases.push_back({"SYN and RST", Tcp(false, kSyn | kRst, 1, 0)});
+  cases.push_back({"no flag", Tcp(false, 0, 1, 0)});
+  cases.push_back({"other direction", Tcp(true, kAck, 1, 0)});
+  cr_assert(Ingress("ip").read({kTcpFlow, valid}).has_value());
+  for (const Case& c : cases) {
+    cr_assert(Ingress("ip").read({kTcpFlow, c.bytes}).has_error(),
+              "%s was accepted", c.what);
+  }
+  FlowKey other = kTcpFlow;
+  other.service.address += 1;
+  cr_assert(Ingress("ip").read({other, valid}).has_error());
+  cr_assert(Ingress("ip").read({kUdpFlow, valid}).has_error());
+  cr_assert(Delivery("ip").read_answer({kTcpFlow, valid}).has_error());
+}
+
+// Guards against a field that the plug-in does not pass on, and against a
+// datagram that is changed on its way to the upstream.
+Test(udp_plugin, request_answer_and_refusal_read_back) {
+  CallerDatagram datagram;
+  datagram.nonce = FlowNonce(77);
+  datagram.request = RequestNumber(3);
+  datagram.first = true;
+  datagram.last = true;
+  datagram.repeatable = true;
+  datagram.cancel = true;
+  datagram.deadline = Millis(250);
+  datagram.payload = "answer 4";
+  const Encapsulated packet = Carry({kUdpFlow, Encode(datagram)});
+  const PacketInfo info = Ingress("udp").read(packet).value();
+  const PacketInfo expected{.flow = kUdpFlow,
+                            .nonce = FlowNonce(77),
+                            .request = RequestNumber(3),
+                            .first = true,
+                            .last = true,
+                            .repeatable = true,
+                            .cancel = true,
+                            .deadline = Millis(250)};
+  cr_assert(info == expected);
+  cr_assert(Delivery("udp").wrap(info, packet.payload).value() == packet);
+
+  const AnswerInfo answer = Delivery("udp").read_answer(packet).value();
+  const AnswerInfo expected_answer{.flow = kUdpFlow,
+                                   .nonce = FlowNonce(77),
+                                   .request = RequestNumber(3),
+                                   .last = true};
+  cr_assert(answer == expected_answer);
+
+  const Refusal refusal{Verdict::kNotRun, Reason::kDeadline, Millis(40)};
+  const Encapsulated refused =
+      Carry(Ingress("udp").refuse(info, refusal, "").value());
+  const CallerDatagram read = DecodeCallerDatagram(refused.payload).value();
+  cr_assert(read.refused && read.refusal == refusal);
+  cr_assert(read.nonce == info.nonce && read.request == info.request);
+  // An upstream may refuse; a caller may not pass a refusal upstream.
+  cr_assert(Delivery("udp").read_answer(refused).value().refusal == refusal);
+  cr_assert(Ingress("udp").read(refused).has_error());
+
+  const Encapsulated cancelled = Delivery("udp").cancel(info, "").value();
+  cr_assert(Ingress("udp").read(cancelled).value().cancel);
+
+  datagram.nonce = FlowNonce();
+  cr_assert(Ingress("udp").read({kUdpFlow, Encode(datagram)}).has_error());
+  cr_assert(Ingress("udp").read({kTcpFlow, packet.payload}).has_error());
+}
+
+void FixChecksums(std::string* bytes) {
+  try {
+    Tins::IP ip = Parsed(*bytes);
+    *bytes = Serialize(&ip);
+  } catch (const std::exception&) {
+    // Bytes that libtins does not parse stay as they are.
+  }
+}
+
+// Guards against a crash, an over-read or an exception on hostile input. Run
+// under the sanitizers in CI.
+Test(plugins, readers_survive_random_and_mutated_bytes) {
+  constexpr uint64_t kSeed = 20261204;
+  cr_log_info("seed %llu", static_cast<unsigned long long>(kSeed));
+  Random random(kSeed);
+  CallerDatagram datagram;
+  datagram.nonce = FlowNonce(5);
+  datagram.payload = "payload";
+  const std::vector<std::string> valid = {
+      Encode(datagram), Tcp(false, kSyn, 1000, 0),
+      Tcp(false, kAck, 1001, 7001, "payload"),
+      Tcp(true, kFin | kAck, 7001, 1004)};
+  const Refusal refusal{Verdict::kNotRun, Reason::kOverload, Millis(1)};
+  for (int round = 0; round < 40000; ++round) {
+    std::string bytes = valid[random.Below(valid.size())];
+    if (round % 4 == 0) {
+      bytes.resize(random.Below(120));
+      for (char& c : bytes) c = static_cast<char>(random.Next());
+    } else {
+      const uint64_t changes = 1 + random.Below(4);
+      for (uint64_t i = 0; i < changes; ++i) {
+        bytes[random.Below(bytes.size())] = static_cast<char>(random.Next());
+      }
+      if (random.Chance(0.3)) bytes.resize(random.Below(bytes.size()));
+    }
+    // Correct checksums lead a mutated packet past the checks for them.
+    if (random.Chance(0.5)) FixChecksums(&bytes);
+    for (const char* name : {"udp", "ip"}) {
+      for (const FlowKey& flow : {kTcpFlow, kUdpFlow}) {
+        (void)Ingress(name).read({flow, bytes});
+        (void)Delivery(name).read_answer({flow, bytes});
+        (void)Ingress(name).refuse({.flow = flow}, refusal, bytes);
+        (void)Delivery(name).cancel({.flow = flow}, bytes);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cornelhill
