--- a/include/cornelhill/control/control_messages.h
+++ b/include/cornelhill/control/control_messages.h
@@ -232,13 +232,13 @@
 };
 
 // One member of the group of control instances.
-struct ControlMember {
+struct MemberStatus {
   InstanceId instance;
   Endpoint endpoint;
   bool voter = true;
   bool leader = false;
 
-  bool operator==(const ControlMember&) const = default;
+  bool operator==(const MemberStatus&) const = default;
 };
 
 struct OperatorResponse {
@@ -254,7 +254,7 @@
   std::vector<ServiceStatus> services;
   std::vector<UpstreamInfo> upstreams;
   std::vector<HistoryEntry> history;
-  std::vector<ControlMember> members;
+  std::vector<MemberStatus> members;
   EffectReport report;
 
   bool operator==(const OperatorResponse&) const = default;
--- a/include/cornelhill/daemon/message_node.h
+++ b/include/cornelhill/daemon/message_node.h
@@ -52,6 +52,6 @@
 };
 
 // Largest message that a process takes from another over ZeroMQ.
-constexpr size_t kMaxControlMessageBytes = size_t{8} << 20;
+constexpr size_t kMaxZmqMessageBytes = size_t{8} << 20;
 
 }  // namespace cornelhill
--- a/src/control/control_codec.cc
+++ b/src/control/control_codec.cc
@@ -386,7 +386,7 @@
   for (const HistoryEntry& entry : in.history) {
     ToProto(entry, out->add_history());
   }
-  for (const ControlMember& member : in.members) {
+  for (const MemberStatus& member : in.members) {
     pb::ControlMember* added = out->add_members();
     added->set_instance(member.instance.Value());
     ToProto(member.endpoint, added->mutable_endpoint());
--- a/src/daemon/message_node.cc
+++ b/src/daemon/message_node.cc
@@ -33,7 +33,7 @@
   socket.set(zmq::sockopt::sndhwm, kSendQueueMessages);
   socket.set(zmq::sockopt::rcvhwm, kSendQueueMessages);
   socket.set(zmq::sockopt::maxmsgsize,
-             static_cast<int64_t>(kMaxControlMessageBytes));
+             static_cast<int64_t>(kMaxZmqMessageBytes));
 }
 
 std::string ToText(const zmq::message_t& message) {
