--- /dev/null
+++ b/tests/consensus/test_cluster.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornelhill/base/random.h"
+#include "cornelhill/consensus/consensus_codec.h"
+#include "cornelhill/consensus/log_store.h"
+#include "cornelhill/consensus/replica.h"
+#include "memory_file_system.h"
+#include "tests/naive/single_copy_registers.h"
+
+namespace cornelhill {
+
+// How often each fault occurs: probabilities for a message, or for a step of
+// `TestCluster::kStep`.
+struct FaultRates {
+  double loss = 0;
+  double duplicate = 0;
+  double long_delay = 0;
+  double one_way_partition = 0;
+  double crash = 0;
+  double crash_in_write = 0;
+  double pause = 0;
+  double lose_disk = 0;
+  double slow_disk = 0;
+};
+
+// Replicas with a fake network and fake disks, driven by one clock and seed.
+// Each holds a map of registers. Checks after every input that there is one
+// leader a term, that committed entries never change and equal the single-copy
+// model, that no acknowledged write is lost and that no confirmed read is
+// stale. Stops at the first violation, described in `Violation`.
+class TestCluster {
+ public:
+  static constexpr Millis kStep{10};
+
+  struct Node {
+    MemberId id;
+    std::unique_ptr<MemoryFileSystem> disk;
+    std::unique_ptr<LogStore> store;
+    std::optional<Replica> replica;
+    std::map<std::string, std::string> registers;
+    LogIndex applied = 0;
+    std::deque<std::pair<Millis, PersistRequest>> persisting;
+    Millis back_at;  // Down or paused until then.
+    bool paused = false;
+    bool disk_lost = false;
+    bool disk_stalled = false;
+    std::string halt;
+    // Writes proposed here that wait to be committed.
+    std::map<ProposalId, std::string> writes;
+  };
+
+  TestCluster(uint64_t seed, size_t voters);
+
+  void Step(const FaultRates& rates);
+  void Run(Millis time, const FaultRates& rates = {});
+  // Restarts everything and runs until all voters hold one more write.
+  void HealAndConverge();
+
+  Node* Leader();
+  Node& Get(uint64_t id) { return *this->nodes.at(MemberId(id)); }
+  std::optional<ProposalId> Write(Node* node);
+  ReadId Read(Node* node);
+  void Crash(Node* node, bool power);
+  void Restart(Node* node);
+  // Starts an instance with an empty disk under `id`.
+  Node& AddNode(MemberId id, const std::optional<Membership>& bootstrap);
+  void Block(uint64_t from, uint64_t to) {
+    this->blocked[{MemberId(from), MemberId(to)}] = Millis(INT64_MAX);
+  }
+  void Isolate(uint64_t id);
+  void Unblock() { this->blocked.clear(); }
+  void Handle(Node* node);
+
+  const std::string& Violation() const { return this->violation; }
+  Millis Now() const { return this->now; }
+
+  uint64_t acknowledged = 0;
+  uint64_t repairs = 0;
+  std::set<ReadId> confirmed;
+  std::set<ReadId> failed;
+  size_t change_conflicts = 0;
+
+ private:
+  struct WaitingRead {
+    std::map<std::string, LogIndex> least;  // Acknowledged when it started.
+  };
+
+  void Apply(Node* node, const LogEntry& entry);
+  void Send(const ConsensusMessage& message, const FaultRates& rates);
+  void InjectFaults(const FaultRates& rates);
+  void Repair();
+  bool MayLoseDisk(const Node& node);
+  void Fail(const std::string& what);
+
+  Random random;
+  size_t voters;
+  Millis now;
+  FaultRates rates;
+  std::map<MemberId, std::unique_ptr<Node>> nodes;
+  std::multimap<Millis, ConsensusMessage> network;
+  std::map<std::pair<MemberId, MemberId>, Millis> blocked;
+  std::map<Term, MemberId> leaders;
+
+  // Committed entries by index, and the model after each of them.
+  std::vector<LogEntry> committed;
+  naive::SingleCopyRegisters model;
+  std::vector<std::map<std::string, std::string>> model_at;
+  Membership membership;
+  LogIndex membership_index = 0;
+  std::map<std::string, LogIndex> acknowledged_index;
+  LogIndex last_acknowledged = 0;
+  std::map<ReadId, WaitingRead> reads;
+  uint64_t next_value = 1;
+  uint64_t next_read = 1;
+  bool lose_again = false;
+  std::string violation;
+};
+
+}  // namespace cornelhill
--- /dev/null
+++ b/tests/naive/single_copy_registers.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace cornelhill::naive {
+
+// A register map in one place: what the replicated one must look like.
+class SingleCopyRegisters {
+ public:
+  void Put(const std::string& key, const std::string& value) {
+    this->values[key] = value;
+  }
+
+  const std::map<std::string, std::string>& Values() const {
+    return this->values;
+  }
+
+ private:
+  std::map<std::string, std::string> values;
+};
+
+}  // namespace cornelhill::naive
