--- a/include/cornelhill/consensus/consensus_codec.h
+++ b/include/cornelhill/consensus/consensus_codec.h
@@ -10,9 +10,9 @@
 namespace cornelhill {
 
 // Largest encoded message that a member sends or accepts.
-constexpr size_t kMaxConsensusMessageBytes = 1 << 20;
+constexpr size_t kMaxConsensusMessageBytes = 2 << 20;
 // Largest command; leaves room for the other fields of a message.
-constexpr size_t kMaxCommandBytes = 512 << 10;
+constexpr size_t kMaxLogCommandBytes = 1 << 20;
 constexpr size_t kMaxEntriesPerAppend = 4096;
 
 // Encoders never fail. Decoders fail with `kTooLarge`, `kMalformed` or
--- a/include/cornelhill/consensus/replica.h
+++ b/include/cornelhill/consensus/replica.h
@@ -48,12 +48,12 @@
   uint64_t keep_entries = 2000;
 };
 
-enum class Role : uint8_t { kFollower = 0, kPreCandidate, kCandidate, kLeader };
+enum class ReplicaRole : uint8_t { kFollower = 0, kPreCandidate, kCandidate, kLeader };
 
-std::string_view ToString(Role role);
+std::string_view ToString(ReplicaRole role);
 
 struct RoleChange {
-  Role role = Role::kFollower;
+  ReplicaRole role = ReplicaRole::kFollower;
   Term term;
   MemberId leader;  // 0: unknown.
 };
@@ -105,7 +105,7 @@
   std::string halt;
 };
 
-struct MemberStatus {
+struct ReplicaMemberStatus {
   Member member;
   LogIndex synced = 0;
   // Answered within the last election timeout.
@@ -117,7 +117,7 @@
 
 struct ReplicaStatus {
   MemberId self;
-  Role role = Role::kFollower;
+  ReplicaRole role = ReplicaRole::kFollower;
   Term term;
   MemberId leader;
   LogIndex last_index = 0;
@@ -127,7 +127,7 @@
   Membership membership;
   bool change_in_flight = false;
   // On the leader only.
-  std::vector<MemberStatus> members;
+  std::vector<ReplicaMemberStatus> members;
   // On the leader only: voters that may still fail, see `FaultsTolerated`.
   int faults_tolerated = 0;
 };
@@ -296,7 +296,7 @@
   MemberId self;
   Random random;
 
-  Role role = Role::kFollower;
+  ReplicaRole role = ReplicaRole::kFollower;
   HardState hard_state;
   HardState durable_state;
   MemberId leader;
--- a/src/consensus/consensus_codec.cc
+++ b/src/consensus/consensus_codec.cc
@@ -120,9 +120,9 @@
     if (entry.kind() >= kEntryKindCount) {
       return Malformed("entry has an unknown kind");
     }
-    if (entry.data().size() > kMaxCommandBytes) {
+    if (entry.data().size() > kMaxLogCommandBytes) {
       return Malformed("entry is larger than " +
-                       std::to_string(kMaxCommandBytes) + " bytes");
+                       std::to_string(kMaxLogCommandBytes) + " bytes");
     }
     least = Term(entry.term());
     LogEntry added{entry.index(), least, static_cast<EntryKind>(entry.kind()),
--- a/src/consensus/log_record.cc
+++ b/src/consensus/log_record.cc
@@ -50,7 +50,7 @@
     return std::nullopt;
   }
   const uint64_t length = GetNumber(bytes, offset + 4, 4);
-  if (length > kMaxCommandBytes ||
+  if (length > kMaxLogCommandBytes ||
       length > bytes.size() - offset - kRecordHeaderBytes) {
     return std::nullopt;
   }
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -29,7 +29,7 @@
   }
   // Leaves room for one largest command and the other fields of a message.
   constexpr size_t kMaxPayload = kMaxConsensusMessageBytes - (64 << 10);
-  if (settings.max_append_bytes > kMaxPayload - kMaxCommandBytes ||
+  if (settings.max_append_bytes > kMaxPayload - kMaxLogCommandBytes ||
       settings.snapshot_chunk_bytes > kMaxPayload ||
       settings.snapshot_chunk_bytes == 0) {
     return Error{ErrorCode::kInvalidArgument,
@@ -68,15 +68,15 @@
 
 }  // namespace
 
-std::string_view ToString(Role role) {
+std::string_view ToString(ReplicaRole role) {
   switch (role) {
-    case Role::kFollower:
+    case ReplicaRole::kFollower:
       return "follower";
-    case Role::kPreCandidate:
+    case ReplicaRole::kPreCandidate:
       return "pre_candidate";
-    case Role::kCandidate:
+    case ReplicaRole::kCandidate:
       return "candidate";
-    case Role::kLeader:
+    case ReplicaRole::kLeader:
       return "leader";
   }
   return "unknown";
@@ -129,13 +129,13 @@
 }
 
 bool Replica::LeaderIsAlive(Millis now) const {
-  return this->role == Role::kLeader ||
+  return this->role == ReplicaRole::kLeader ||
          (this->leader != MemberId() &&
           now - this->leader_heard < this->settings.election_timeout);
 }
 
 void Replica::BecomeFollower(Millis now, Term term, MemberId leader) {
-  if (this->role == Role::kLeader) {
+  if (this->role == ReplicaRole::kLeader) {
     this->FailReads();
     this->progress.clear();
     this->ResetElectionTimer(now);
@@ -146,14 +146,14 @@
     this->matched = 0;
     this->reply_when_synced = false;
   }
-  this->role = Role::kFollower;
+  this->role = ReplicaRole::kFollower;
   this->leader = leader;
   this->votes.clear();
   this->ReportRole();
 }
 
 void Replica::BecomePreCandidate(Millis now) {
-  this->role = Role::kPreCandidate;
+  this->role = ReplicaRole::kPreCandidate;
   this->leader = MemberId();
   this->ResetElectionTimer(now);
   this->votes = {{this->self, true}};
@@ -169,7 +169,7 @@
 }
 
 void Replica::BecomeCandidate(Millis now) {
-  this->role = Role::kCandidate;
+  this->role = ReplicaRole::kCandidate;
   this->hard_state = {Term(this->hard_state.term.Value() + 1), this->self};
   this->SaveHardState();
   this->matched = 0;
@@ -193,15 +193,15 @@
     if (vote && IsVoter(this->CurrentMembership(), member)) ++granted;
   }
   if (granted < QuorumSize(this->CurrentMembership())) return;
-  if (this->role == Role::kPreCandidate) {
+  if (this->role == ReplicaRole::kPreCandidate) {
     this->BecomeCandidate(now);
-  } else if (this->role == Role::kCandidate) {
+  } else if (this->role == ReplicaRole::kCandidate) {
     this->BecomeLeader(now);
   }
 }
 
 void Replica::BecomeLeader(Millis now) {
-  this->role = Role::kLeader;
+  this->role = ReplicaRole::kLeader;
   this->leader = this->self;
   this->votes.clear();
   this->progress.clear();
@@ -223,7 +223,7 @@
 
 void Replica::Tick(Millis now) {
   if (this->halted) return;
-  if (this->role == Role::kLeader) {
+  if (this->role == ReplicaRole::kLeader) {
     if (!this->QuorumActive(now)) {
       this->BecomeFollower(now, this->hard_state.term, MemberId());
       return;
@@ -303,14 +303,14 @@
 }
 
 Result<ProposalId> Replica::Propose(Millis /*now*/, std::string command) {
-  if (this->halted || this->role != Role::kLeader) {
+  if (this->halted || this->role != ReplicaRole::kLeader) {
     return NotLeader(this->leader);
   }
-  if (command.size() > kMaxCommandBytes) {
+  if (command.size() > kMaxLogCommandBytes) {
     return Error{ErrorCode::kTooLarge, "command of " +
                                            std::to_string(command.size()) +
                                            " bytes is larger than " +
-                                           std::to_string(kMaxCommandBytes)};
+                                           std::to_string(kMaxLogCommandBytes)};
   }
   if (this->uncommitted_bytes + command.size() >
       this->settings.max_uncommitted_bytes) {
@@ -323,7 +323,7 @@
 }
 
 void Replica::ConfirmRead(Millis /*now*/, ReadId id) {
-  if (this->halted || this->role != Role::kLeader ||
+  if (this->halted || this->role != ReplicaRole::kLeader ||
       this->reads.size() >= this->settings.max_pending_reads) {
     this->output.reads_failed.push_back(id);
     return;
@@ -359,12 +359,12 @@
     this->output.messages.push_back(std::move(this->held.front().message));
     this->held.pop_front();
   }
-  if (this->role == Role::kCandidate &&
+  if (this->role == ReplicaRole::kCandidate &&
       this->durable_state == this->hard_state) {
     this->votes[this->self] = true;
     this->CountVotes(now);
   }
-  if (this->role == Role::kFollower && this->reply_when_synced &&
+  if (this->role == ReplicaRole::kFollower && this->reply_when_synced &&
       this->leader != MemberId()) {
     this->reply_when_synced = this->synced < this->matched;
     this->ReplyMatched(this->leader, 0, 0);
@@ -393,7 +393,7 @@
 
 ReplicaOutput Replica::Take(Millis now) {
   if (!this->halted) {
-    if (this->role == Role::kLeader) {
+    if (this->role == ReplicaRole::kLeader) {
       this->AdvanceCommit();
       this->StartReads();
       const bool heartbeat = std::exchange(this->heartbeat_due, false);
@@ -404,7 +404,7 @@
     this->EmitCommitted();
     this->ConfirmReads();
     // A leader that removed itself serves until the removal is committed.
-    if (this->role == Role::kLeader &&
+    if (this->role == ReplicaRole::kLeader &&
         this->memberships.back().first <= this->commit &&
         !IsVoter(this->CurrentMembership(), this->self)) {
       this->BecomeFollower(now, this->hard_state.term, MemberId());
@@ -431,11 +431,11 @@
   status.applied_index = this->applied;
   status.membership = this->CurrentMembership();
   status.change_in_flight = this->memberships.back().first > this->commit;
-  if (this->role != Role::kLeader) return status;
+  if (this->role != ReplicaRole::kLeader) return status;
   const std::set<MemberId> working = this->Working(now);
   status.faults_tolerated = FaultsTolerated(status.membership, working);
   for (const Member& member : status.membership.members) {
-    MemberStatus row;
+    ReplicaMemberStatus row;
     row.member = member;
     row.caught_up = working.contains(member.id);
     if (member.id == this->self) {
@@ -495,7 +495,7 @@
   }
   const bool free =
       this->hard_state.vote == MemberId() || this->hard_state.vote == from;
-  if (!complete || !free || this->role != Role::kFollower) {
+  if (!complete || !free || this->role != ReplicaRole::kFollower) {
     this->Send(from, this->hard_state.term, VoteReply{false, false});
     return;
   }
@@ -510,11 +510,11 @@
 void Replica::OnVoteReply(Millis now, MemberId from, Term term,
                           const VoteReply& reply) {
   if (reply.pre_vote) {
-    if (this->role != Role::kPreCandidate) return;
+    if (this->role != ReplicaRole::kPreCandidate) return;
     if (reply.granted && term.Value() != this->hard_state.term.Value() + 1) {
       return;
     }
-  } else if (this->role != Role::kCandidate) {
+  } else if (this->role != ReplicaRole::kCandidate) {
     return;
   }
   this->votes[from] = reply.granted;
@@ -522,7 +522,7 @@
 }
 
 void Replica::FollowLeader(Millis now, MemberId from) {
-  if (this->role != Role::kFollower || this->leader != from) {
+  if (this->role != ReplicaRole::kFollower || this->leader != from) {
     this->BecomeFollower(now, this->hard_state.term, from);
   }
   this->leader_heard = now;
@@ -530,7 +530,7 @@
 }
 
 void Replica::OnAppend(Millis now, MemberId from, Append append) {
-  if (this->role == Role::kLeader) return;
+  if (this->role == ReplicaRole::kLeader) return;
   this->FollowLeader(now, from);
   if (this->HaltWithout(append.required_index)) return;
   if (this->installing) {
@@ -584,7 +584,7 @@
 void Replica::OnAppendReply(Millis now, MemberId from,
                             const AppendReply& reply) {
   const auto found = this->progress.find(from);
-  if (this->role != Role::kLeader || found == this->progress.end()) return;
+  if (this->role != ReplicaRole::kLeader || found == this->progress.end()) return;
   Progress& state = found->second;
   state.last_heard = now;
   state.round = std::max(state.round, reply.round);
@@ -632,7 +632,7 @@
 
 void Replica::OnSnapshotChunk(Millis now, MemberId from,
                               const SnapshotChunk& chunk) {
-  if (this->role == Role::kLeader) return;
+  if (this->role == ReplicaRole::kLeader) return;
   this->FollowLeader(now, from);
   if (this->HaltWithout(chunk.required_index) || this->installing) return;
   const SnapshotMeta& meta = chunk.meta;
@@ -682,7 +682,7 @@
 void Replica::OnSnapshotReply(Millis now, MemberId from,
                               const SnapshotReply& reply) {
   const auto found = this->progress.find(from);
-  if (this->role != Role::kLeader || found == this->progress.end()) return;
+  if (this->role != ReplicaRole::kLeader || found == this->progress.end()) return;
   Progress& state = found->second;
   state.last_heard = now;
   if (state.sending != Sending::kSnapshot ||
@@ -702,7 +702,7 @@
 void Replica::SnapshotChunkRead(Millis now, const SnapshotRead& read,
                                 std::optional<std::string> data) {
   const auto found = this->progress.find(read.to);
-  if (this->halted || this->role != Role::kLeader ||
+  if (this->halted || this->role != ReplicaRole::kLeader ||
       found == this->progress.end()) {
     return;
   }
@@ -817,7 +817,7 @@
 }
 
 bool Replica::OwnTermCommitted() const {
-  return this->role == Role::kLeader && this->commit >= this->first_own_index;
+  return this->role == ReplicaRole::kLeader && this->commit >= this->first_own_index;
 }
 
 bool Replica::IsActive(const Progress& progress, Millis now) const {
@@ -846,7 +846,7 @@
 
 Result<Membership> Replica::CheckChange(Millis now,
                                         const MembershipChange& change) const {
-  if (this->halted || this->role != Role::kLeader) {
+  if (this->halted || this->role != ReplicaRole::kLeader) {
     return NotLeader(this->leader);
   }
   // Before that, an earlier leader's change may still be in flight unseen.
@@ -932,7 +932,7 @@
 }
 
 void Replica::ConfirmReads() {
-  if (this->role != Role::kLeader || this->reads.empty()) return;
+  if (this->role != ReplicaRole::kLeader || this->reads.empty()) return;
   const Membership& membership = this->CurrentMembership();
   std::vector<uint64_t> rounds;
   for (const Member& member : membership.members) {
--- a/tests/consensus/test_cluster.cc
+++ b/tests/consensus/test_cluster.cc
@@ -122,7 +122,7 @@
   for (auto& [id, node] : this->nodes) {
     if (!node->replica || node->paused) continue;
     const ReplicaStatus status = node->replica->Status(this->now);
-    if (status.role != Role::kLeader) continue;
+    if (status.role != ReplicaRole::kLeader) continue;
     if (leader == nullptr ||
         status.term > leader->replica->Status(this->now).term) {
       leader = node.get();
@@ -197,7 +197,7 @@
 void TestCluster::Handle(Node* node) {
   ReplicaOutput output = node->replica->Take(this->now);
   for (const RoleChange& change : output.role_changes) {
-    if (change.role != Role::kLeader) continue;
+    if (change.role != ReplicaRole::kLeader) continue;
     const auto [known, added] = this->leaders.emplace(change.term, node->id);
     if (known->second != node->id) this->Fail("a term has two leaders");
   }
