--- a/include/cornelhill/config/schemas.h
+++ b/include/cornelhill/config/schemas.h
@@ -4,8 +4,13 @@
 
 namespace cornelhill {
 
-// JSON Schema (draft 7) of the settings of `cornelhilld`. `schema/` holds a
-// copy for editors. Thread-safe.
+// JSON Schemas (draft 7). `schema/` holds a copy of each for editors; a test
+// compares them. Thread-safe.
+
+// Settings of `cornelhilld`.
 std::string_view SettingsSchema();
 
+// Declarations; the rules come from `RuleFields`.
+std::string_view DeclarationSchema();
+
 }  // namespace cornelhill
--- a/src/config/schema_checker.cc
+++ b/src/config/schema_checker.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 #include <fstream>
 #include <set>
@@ -47,13 +48,22 @@
          });
 }
 
+void AppendKey(std::string& path, const std::string& key) {
+  if (!path.empty()) path += '.';
+  path += IsPlainKey(key) ? key : Show(key);
+}
+
 // Returns null where `document` has nothing at `path`.
 const Json* FindValue(const Json& document, const FieldPath& path) {
   const Json* value = &document;
   for (const std::string& step : path) {
     if (value->is_array()) {
-      const size_t index = std::stoul(step);
-      if (index >= value->size()) return nullptr;
+      size_t index = 0;
+      const char* end = step.data() + step.size();
+      const auto [stop, status] = std::from_chars(step.data(), end, index);
+      if (status != std::errc() || stop != end || index >= value->size()) {
+        return nullptr;
+      }
       value = &(*value)[index];
     } else if (value->is_object() && value->contains(step)) {
       value = &(*value)[step];
@@ -84,26 +94,64 @@
   return Error{ErrorCode::kInvalidArgument, OneLine(file) + ": " + rest};
 }
 
-// Refuses duplicate keys, which the parser would resolve silently in favour of
-// the last one, and deep nesting.
+// Refuses deep nesting and duplicate keys; the parser would resolve those
+// silently in favour of the last one.
 class ParseGuard {
  public:
-  bool operator()(int depth, Json::parse_event_t event, const Json& parsed) {
+  void Observe(int depth, Json::parse_event_t event, const Json& parsed) {
+    using Event = Json::parse_event_t;
     if (depth >= kMaxDepth) this->too_deep = true;
-    if (event == Json::parse_event_t::object_start) this->keys.emplace_back();
-    if (event == Json::parse_event_t::object_end) this->keys.pop_back();
-    if (event == Json::parse_event_t::key && this->duplicate.empty() &&
-        !this->keys.back().insert(parsed.get<std::string>()).second) {
-      this->duplicate = Show(parsed);
+    switch (event) {
+      case Event::object_start:
+      case Event::array_start:
+        this->CountEntry();
+        this->open.push_back({event == Event::array_start, 0, {}, {}});
+        break;
+      case Event::object_end:
+      case Event::array_end:
+        this->open.pop_back();
+        break;
+      case Event::key:
+        this->open.back().key = parsed.get<std::string>();
+        if (!this->open.back().keys.insert(this->open.back().key).second &&
+            this->duplicate.empty()) {
+          this->duplicate = this->Path();
+        }
+        break;
+      case Event::value:
+        this->CountEntry();
+        break;
     }
-    return !this->too_deep;
   }
 
   bool too_deep = false;
-  std::string duplicate;
+  std::string duplicate;  // Path of the first repeated key.
 
  private:
-  std::vector<std::set<std::string>> keys;
+  struct Container {
+    bool is_array;
+    size_t entries;
+    std::string key;  // The latest one.
+    std::set<std::string> keys;
+  };
+
+  void CountEntry() {
+    if (!this->open.empty()) ++this->open.back().entries;
+  }
+
+  std::string Path() const {
+    std::string path;
+    for (const Container& container : this->open) {
+      if (container.is_array) {
+        path += '[' + std::to_string(container.entries - 1) + ']';
+      } else {
+        AppendKey(path, container.key);
+      }
+    }
+    return path;
+  }
+
+  std::vector<Container> open;
 };
 
 std::string Position(std::string_view text, size_t byte) {
@@ -141,16 +189,16 @@
   try {
     Json document = Json::parse(
         text, [&guard](int depth, Json::parse_event_t event, Json& parsed) {
-          return guard(depth, event, parsed);
+          guard.Observe(depth, event, parsed);
+          return !guard.too_deep;
         });
     if (guard.too_deep) {
       return MakeError(file, "nested deeper than " + std::to_string(kMaxDepth) +
-                                 " levels; expected an object");
+                                 " levels; expected at most that");
     }
     if (!guard.duplicate.empty()) {
-      return MakeError(file, "key " + guard.duplicate +
-                                 " occurs twice in one object; expected it "
-                                 "once");
+      return MakeError(file,
+                       guard.duplicate + ": occurs twice; expected one value");
     }
     return document;
   } catch (const Json::parse_error& error) {
@@ -173,8 +221,7 @@
       text += step;
       text += ']';
     } else {
-      if (!text.empty()) text += '.';
-      text += IsPlainKey(step) ? step : Show(step);
+      AppendKey(text, step);
     }
     if (value != nullptr) value = FindValue(*value, {step});
   }
@@ -271,11 +318,11 @@
   if (value.is_string()) {
     const auto& text = value.get_ref<const std::string&>();
     if (text.size() > kMaxString) return this->Refuse(file, document, path);
-    const std::string format = node.value("format", "");
-    if (format.starts_with("ipv4-port")) {
+    const std::string syntax = node.value("syntax", "");
+    if (syntax.starts_with("ipv4-port")) {
       const Result<Endpoint> endpoint = ParseEndpoint(text);
       if (!endpoint.has_value() || endpoint.value().port == 0 ||
-          (format == "ipv4-port" && endpoint.value().address == 0)) {
+          (syntax == "ipv4-port" && endpoint.value().address == 0)) {
         return this->Refuse(file, document, path);
       }
     }
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -30,7 +30,10 @@
 
 // Finds the role before the check, since the role selects the schema.
 Result<Role> ReadRole(const Json& document, const std::string& file) {
-  if (document.is_object() && document.contains("role")) {
+  if (!document.is_object()) {
+    return CheckerOf(Role::kBalancer).Refuse(file, document, {});
+  }
+  if (document.contains("role")) {
     for (const auto& [role, name] : kRoleNames) {
       if (document["role"] == name) return role;
     }
@@ -38,18 +41,20 @@
   return CheckerOf(Role::kBalancer).Refuse(file, document, {"role"});
 }
 
-// Refuses fields of another role by a message that names that role.
+// Refuses fields of other roles by a message that names those roles.
 Result<void> CheckFieldsOfRole(Role role, const Json& document,
                                const std::string& file) {
   for (const auto& [key, value] : document.items()) {
     if (!CheckerOf(role).FieldSchema({key}).is_null()) continue;
+    std::string others;
     for (const auto& [other, name] : kRoleNames) {
       if (CheckerOf(other).FieldSchema({key}).is_null()) continue;
-      return FieldError(file, document, {key},
-                        "no such field for role " +
-                            std::string(ToString(role)) +
-                            ", it belongs to role " + std::string(name));
+      others += (others.empty() ? "" : " or ") + std::string(name);
     }
+    if (others.empty()) continue;
+    return FieldError(file, document, {key},
+                      "this field only where role is " + others +
+                          ", and role is " + std::string(ToString(role)));
   }
   return boost::outcome_v2::success();
 }
--- a/src/config/settings_schema.cc
+++ b/src/config/settings_schema.cc
@@ -3,7 +3,7 @@
 namespace cornelhill {
 
 // Besides the keywords of draft 7 the schemas carry `unit` and `accepts`,
-// which `docs/settings.md` and the error messages are made from. The format
+// which `docs/settings.md` and the error messages are made from. The syntax
 // "ipv4-port" excludes port 0 and address 0.0.0.0; "ipv4-port-bind" excludes
 // port 0 only.
 std::string_view SettingsSchema() {
@@ -121,8 +121,8 @@
       "type": "string",
       "pattern": "^[0-9.]{7,15}:[0-9]{1,5}$",
       "maxLength": 21,
-      "format": "ipv4-port",
-      "accepts": "IPV4:PORT, e.g. 127.0.0.1:7000"
+      "syntax": "ipv4-port",
+      "accepts": "IPV4:PORT other than 0.0.0.0 and port 0, e.g. 127.0.0.1:7000"
     },
     "role": {
       "enum": ["balancer", "agent", "control"],
@@ -170,8 +170,8 @@
       "type": "string",
       "pattern": "^[0-9.]{7,15}:[0-9]{1,5}$",
       "maxLength": 21,
-      "format": "ipv4-port-bind",
-      "accepts": "IPV4:PORT, e.g. 127.0.0.1:9100",
+      "syntax": "ipv4-port-bind",
+      "accepts": "IPV4:PORT other than port 0, e.g. 127.0.0.1:9100",
       "default": null,
       "description": "HTTP address of the metrics; no metrics are served without it."
     },
--- /dev/null
+++ b/tests/config/golden.cc
@@ -0,0 +1,40 @@
+#include "tests/config/golden.h"
+
+#include <criterion/criterion.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace cornelhill {
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream input(path, std::ios::binary);
+  std::ostringstream text;
+  text << input.rdbuf();
+  return text.str();
+}
+
+void ExpectFile(const std::string& path, const std::string& actual) {
+  const std::string expected = ReadFile(path);
+  if (expected == actual) return;
+  const std::filesystem::path copy = "out/actual/" + path;
+  std::filesystem::create_directories(copy.parent_path());
+  std::ofstream(copy, std::ios::binary) << actual;
+  std::istringstream expected_lines(expected);
+  std::istringstream actual_lines(actual);
+  std::string want;
+  std::string have;
+  int line = 0;
+  do {
+    ++line;
+    want.clear();
+    have.clear();
+    std::getline(expected_lines, want);
+    std::getline(actual_lines, have);
+  } while (want == have && (expected_lines || actual_lines));
+  cr_assert_fail("%s, line %d: have \"%s\", the file says \"%s\"; see %s",
+                 path.c_str(), line, have.c_str(), want.c_str(), copy.c_str());
+}
+
+}  // namespace cornelhill
