--- a/src/turn/explain_decision.cc
+++ b/src/turn/explain_decision.cc
@@ -91,7 +91,7 @@
                 "kept for short work."
               : ".";
   text += " When it arrived, " + std::to_string(decision.busy_when_queued) +
-          " of " + Plural(decision.slots, "slot") + " were busy";
+          " of " + std::to_string(decision.slots) + " slots were busy";
   if (decision.reserved_slots > 0) {
     text += "; " + Plural(decision.reserved_slots, "slot") +
             " may not be held by long work";
