Add the questionnaire and the generator of declarations

The questions are a table from which the schema of the answers file, the dialogue and the page are made. Questions whose answer changes no rule (region, failure domains, link delays) were left out.

--- a/include/cornelhill/config/schemas.h
+++ b/include/cornelhill/config/schemas.h
@@ -13,4 +13,7 @@
 // Declarations; the rules come from `RuleFields`.
 std::string_view DeclarationSchema();
 
+// Answers; the fields come from `TeamQuestions` and `ServiceQuestions`.
+std::string_view AnswersSchema();
+
 }  // namespace cornelhill
--- a/src/config/declaration_json.cc
+++ b/src/config/declaration_json.cc
@@ -1,9 +1,9 @@
 #include "cornelhill/config/declaration_json.h"
 
 #include <algorithm>
-#include <map>
 
 #include "config/schema_checker.h"
+#include "config/unique_services.h"
 #include "cornelhill/config/rule_fields.h"
 #include "cornelhill/config/schemas.h"
 
@@ -16,38 +16,6 @@
   return checker;
 }
 
-// Two services with one name, address or application would send packets of one
-// to the upstreams of the other. Addresses are compared without the protocol,
-// and as parsed, since port 07001 is port 7001.
-Result<void> CheckUnique(const Declaration& declaration, const Json& document,
-                         const std::string& file) {
-  std::map<std::string, size_t> names;
-  std::map<Endpoint, size_t> addresses;
-  std::map<std::string, size_t> applications;
-  const auto repeated = [&](size_t index, const char* field, size_t first) {
-    return FieldError(
-        file, document, {"services", std::to_string(index), field},
-        std::string("a value of its own, since ") +
-            ToString(document, {"services", std::to_string(first), field}) +
-            " has it");
-  };
-  for (size_t i = 0; i < declaration.services.size(); ++i) {
-    const ServiceDeclaration& service = declaration.services[i];
-    if (const auto [at, added] = names.emplace(service.name, i); !added) {
-      return repeated(i, "name", at->second);
-    }
-    if (const auto [at, added] = addresses.emplace(service.address, i);
-        !added) {
-      return repeated(i, "address", at->second);
-    }
-    if (const auto [at, added] = applications.emplace(service.application, i);
-        !added) {
-      return repeated(i, "application", at->second);
-    }
-  }
-  return boost::outcome_v2::success();
-}
-
 // Rules whose ranges depend on each other. A value that is not stated is its
 // default, which is then named in the error.
 Result<void> CheckRules(const TurnRules& rules, size_t index,
@@ -115,7 +83,7 @@
   for (const Json& value : document["services"]) {
     declaration.services.push_back(ReadService(value));
   }
-  BOOST_OUTCOME_TRY(CheckUnique(declaration, document, file));
+  BOOST_OUTCOME_TRY(CheckUnique(declaration.services, document, file));
   for (size_t i = 0; i < declaration.services.size(); ++i) {
     BOOST_OUTCOME_TRY(
         CheckRules(declaration.services[i].rules, i, document, file));
