--- a/include/cornelhill/observe/event.h
+++ b/include/cornelhill/observe/event.h
@@ -72,7 +72,7 @@
 };
 
 // All kinds, in the order of their values.
-constexpr std::array kEventKinds = {
+inline constexpr std::array kEventKinds = {
     EventKindInfo{EventKind::kFlowAccepted, EventGroup::kFlow, "flow_accepted",
                   "An agent became the owner of a new flow."},
     EventKindInfo{EventKind::kFlowOffered, EventGroup::kFlow, "flow_offered",
--- a/include/cornelhill/observe/metrics.h
+++ b/include/cornelhill/observe/metrics.h
@@ -38,19 +38,19 @@
   kSendFailed,
 };
 
-constexpr std::array<std::string_view, 9> kDropReasonNames = {
+inline constexpr std::array<std::string_view, 9> kDropReasonNames = {
     "malformed",       "too_large",     "unsupported_version",
     "unknown_service", "wrong_service", "hop_limit",
     "unmatched",       "no_upstream",   "send_failed"};
-constexpr std::array<std::string_view, 3> kVerdictNames = {
+inline constexpr std::array<std::string_view, 3> kVerdictNames = {
     "not_run", "may_have_run", "ran"};
-constexpr std::array<std::string_view, 3> kWorkClassNames = {"short", "long",
-                                                             "straggler"};
+inline constexpr std::array<std::string_view, 3> kWorkClassNames = {
+    "short", "long", "straggler"};
 
 // Upper bounds of the wait histograms, in seconds. The range covers a wait of a
 // free slot and the default longest wait of 2 s; the factor of about 2 gives
 // 99th percentiles precise enough for the targets of a factor of 2 and more.
-constexpr std::array<double, 13> kWaitBounds = {
+inline constexpr std::array<double, 13> kWaitBounds = {
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
 
 // One metric of the process. `docs/metrics.md` lists the same.
@@ -62,7 +62,7 @@
   std::string_view help;
 };
 
-constexpr std::array kMetrics = {
+inline constexpr std::array kMetrics = {
     MetricInfo{"cornelhill_packets_total", "counter", "service", "packets",
                "Packets received from callers."},
     MetricInfo{"cornelhill_answer_packets_total", "counter", "service",
