Pass a new flow on where it would not start at once

Cause: the home agent compared a load of one request for each slot, which says nothing about reserved slots and long work; a short request was kept behind streams although the second candidate had a slot that long work may not hold. The scheduler's own answer decides now, and the home's learned class travels with the offer.

--- a/include/cornelhill/agent/agent.h
+++ b/include/cornelhill/agent/agent.h
@@ -125,9 +125,9 @@
   void ExpireIdle(Millis now, AgentOutput* out);
 
   // Requests and turns (agent_requests.cc).
+  TurnRequest TurnRequestFor(Millis now, const Forward& forward) const;
   void Accept(Millis now, Forward forward, AgentOutput* out);
-  void Queue(Millis now, const FlowKey& key, Flow& flow, Forward forward,
-             AgentOutput* out);
+  void Queue(Millis now, Flow& flow, Forward forward, AgentOutput* out);
   void Refuse(Millis now, const RequestKey& key, Endpoint balancer,
               const Refusal& refusal, std::string original, AgentOutput* out);
   void EndRequest(Millis now, const FlowKey& key, Flow& flow, Reason reason,
--- a/include/cornelhill/wire/data_messages.h
+++ b/include/cornelhill/wire/data_messages.h
@@ -90,6 +90,18 @@
 // Number of `ForwardRoute` values.
 constexpr uint32_t kForwardRouteCount = 6;
 
+// What the home agent has learned of a caller's work, for an agent that has
+// not.
+enum class ClassHint : uint8_t {
+  kNone = 0,
+  kShort = 1,
+  kLong = 2,
+  kStraggler = 3,
+};
+
+// Number of `ClassHint` values.
+constexpr uint32_t kClassHintCount = 4;
+
 // A packet on its way to the upstream.
 struct Forward {
   ServiceRef service;
@@ -98,7 +110,8 @@
   uint32_t hops = 0;
   ForwardRoute route = ForwardRoute::kFromBalancer;
   uint32_t load_milli = 0;  // Sender's load: requests per slot times 1000.
-  Incarnation target;       // Life of the agent that the packet is meant for.
+  ClassHint class_hint = ClassHint::kNone;
+  Incarnation target;  // Life of the agent that the packet is meant for.
   // The agent that passed the packet on; zero from a balancer.
   InstanceId sender;
   Incarnation sender_incarnation;
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -180,8 +180,7 @@
     ++this->counters.dropped_unknown_flow;
     return;
   }
-  const FlowKey key = forward.packet.flow;
-  this->Queue(now, key, flow, std::move(forward), out);
+  this->Queue(now, flow, std::move(forward), out);
   this->StartDueRequests(now, out);
 }
 
--- a/src/agent/agent_home.cc
+++ b/src/agent/agent_home.cc
@@ -13,10 +13,19 @@
 
 namespace {
 
-// Load above which the home agent offers a flow to the second candidate: one
-// request for each slot.
-constexpr uint32_t kOfferLoadMilli = 1000;
 constexpr uint32_t kDrainingLoadMilli = 1000000;
+ClassHint ToHint(WorkClass work_class) {
+  switch (work_class) {
+    case WorkClass::kShort:
+      return ClassHint::kShort;
+    case WorkClass::kLong:
+      return ClassHint::kLong;
+    case WorkClass::kStraggler:
+      return ClassHint::kStraggler;
+  }
+  return ClassHint::kNone;
+}
+
 // Most packets held while this agent gathers what others know.
 constexpr size_t kMaxHeldWhileGathering = 2048;
 // Fits a page into a datagram of an Ethernet frame.
@@ -122,8 +131,8 @@
 
 void Agent::DecideNewFlow(Millis now, Forward forward, AgentOutput* out) {
   const UpstreamInfo* second = this->SecondOf(forward.packet.flow);
-  const bool busy =
-      this->draining || this->scheduler.LoadMilli() >= kOfferLoadMilli;
+  const bool busy = this->draining || !this->scheduler.WouldStart(
+                                          this->TurnRequestFor(now, forward));
   if (busy && second != nullptr) {
     ++this->counters.passed_to_second;
     this->Offer(now, *second, ForwardRoute::kOffer, std::move(forward), out);
@@ -143,6 +152,10 @@
   // Recorded before the packet leaves, so that a copy follows the first one.
   this->directory.Record(now, {forward.packet.flow, forward.packet.nonce},
                          to.instance, false);
+  const TurnRequest request = this->TurnRequestFor(now, forward);
+  const auto learned =
+      this->scheduler.Memory().Learned(request.key, request.caller);
+  if (learned.has_value()) forward.class_hint = ToHint(*learned);
   forward.load_milli =
       this->draining ? kDrainingLoadMilli : this->scheduler.LoadMilli();
   this->PassOn(to, kind, std::move(forward), out);
@@ -203,8 +216,10 @@
   const UpstreamInfo* reserve = this->ReserveOf(use.flow);
   const bool from_second =
       second != nullptr && second->instance == forward.sender;
-  if (from_second && reserve != nullptr && reserve != second &&
-      !this->scheduler.HasSlotForShort()) {
+  const TurnRequest request = this->TurnRequestFor(now, forward);
+  const bool long_work = this->scheduler.ClassOf(request) != WorkClass::kShort;
+  if (from_second && reserve != nullptr && reserve != second && !long_work &&
+      !this->scheduler.WouldStart(request)) {
     this->Offer(now, *reserve, ForwardRoute::kOfferReserve, std::move(forward),
                 out);
     return;
--- a/src/agent/agent_requests.cc
+++ b/src/agent/agent_requests.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <optional>
 #include <utility>
 
 #include "agent/agent_internal.h"
@@ -47,19 +48,39 @@
 // Largest answer of one request that is kept for a resent request.
 constexpr size_t kMaxStoredAnswerBytes = 8192;
 
-TurnRequest MakeTurnRequest(Millis now, const RequestKey& key,
-                            const PacketInfo& packet, size_t bytes) {
+std::optional<WorkClass> ToWorkClass(ClassHint hint) {
+  switch (hint) {
+    case ClassHint::kNone:
+      return std::nullopt;
+    case ClassHint::kShort:
+      return WorkClass::kShort;
+    case ClassHint::kLong:
+      return WorkClass::kLong;
+    case ClassHint::kStraggler:
+      return WorkClass::kStraggler;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+TurnRequest Agent::TurnRequestFor(Millis now, const Forward& forward) const {
+  const PacketInfo& packet = forward.packet;
   TurnRequest request;
-  request.key = key;
-  request.caller = CallerId(key.flow.caller.address);
-  request.bytes = static_cast<uint32_t>(bytes);
+  request.key = {packet.flow, packet.nonce, packet.request};
+  request.caller = CallerId(packet.flow.caller.address);
+  request.bytes = static_cast<uint32_t>(forward.payload.size());
   request.repeatable = packet.repeatable;
   if (packet.deadline != Millis()) request.deadline = now + packet.deadline;
+  // What this agent has learned itself is newer than what the home knew.
+  if (!this->scheduler.Memory()
+           .Learned(request.key, request.caller)
+           .has_value()) {
+    request.hint = ToWorkClass(forward.class_hint);
+  }
   return request;
 }
 
-}  // namespace
-
 void Agent::Accept(Millis now, Forward forward, AgentOutput* out) {
   const FlowKey key = forward.packet.flow;
   // The caller uses the key again, so it has given up the earlier flow.
@@ -69,18 +90,15 @@
   flow.nonce = forward.packet.nonce;
   flow.balancer = forward.balancer;
   if (forward.hops > 0) this->SendHint(key, flow, out);
-  this->Queue(now, key, flow, std::move(forward), out);
+  this->Queue(now, flow, std::move(forward), out);
   this->StartDueRequests(now, out);
 }
 
-void Agent::Queue(Millis now, const FlowKey& key, Flow& flow, Forward forward,
-                  AgentOutput* out) {
+void Agent::Queue(Millis now, Flow& flow, Forward forward, AgentOutput* out) {
   flow.request = forward.packet.request;
   flow.repeatable = forward.packet.repeatable;
   flow.last_active = now;
-  const TurnRequest request =
-      MakeTurnRequest(now, {key, flow.nonce, flow.request}, forward.packet,
-                      forward.payload.size());
+  const TurnRequest request = this->TurnRequestFor(now, forward);
   if (const auto refusal = this->scheduler.Enqueue(now, request)) {
     this->Refuse(now, request.key, flow.balancer,
                  {Verdict::kNotRun, refusal->reason, refusal->retry_after},
@@ -199,8 +217,10 @@
     this->scheduler.Cancel(now, key);
     HeldPacket first = std::move(buffer.delivered.front());
     buffer.delivered.clear();
-    TurnRequest request =
-        MakeTurnRequest(now, key, first.packet, first.payload.size());
+    Forward again;
+    again.packet = first.packet;
+    again.payload = first.payload;
+    TurnRequest request = this->TurnRequestFor(now, again);
     request.hint = WorkClass::kLong;
     buffer.held.push_back(std::move(first));
     if (const auto refusal = this->scheduler.Enqueue(now, request)) {
--- a/src/wire/data_codec.cc
+++ b/src/wire/data_codec.cc
@@ -86,6 +86,7 @@
   out->set_hops(in.hops);
   out->set_route(static_cast<uint32_t>(in.route));
   out->set_load_milli(in.load_milli);
+  out->set_class_hint(static_cast<uint32_t>(in.class_hint));
   out->set_target_incarnation(in.target.Value());
   out->set_resent(in.packet.resent);
   out->set_sender_instance(in.sender.Value());
@@ -97,6 +98,9 @@
   if (in->route() >= kForwardRouteCount) {
     return Malformed("forward has an unknown route");
   }
+  if (in->class_hint() >= kClassHintCount) {
+    return Malformed("forward has an unknown class hint");
+  }
   if (in->hops() > kMaxHops) return Malformed("forward has too many hops");
   Forward out;
   out.service = FromProto(in->service());
@@ -115,6 +119,7 @@
   out.hops = in->hops();
   out.route = static_cast<ForwardRoute>(in->route());
   out.load_milli = in->load_milli();
+  out.class_hint = static_cast<ClassHint>(in->class_hint());
   out.target = Incarnation(in->target_incarnation());
   out.packet.resent = in->resent();
   out.sender = InstanceId(in->sender_instance());
--- a/tests/wire/data_codec_test.cc
+++ b/tests/wire/data_codec_test.cc
@@ -22,6 +22,7 @@
   forward.load_milli = 1500;
   forward.target = Incarnation(4);
   forward.packet.resent = true;
+  forward.class_hint = ClassHint::kLong;
   forward.sender = InstanceId(12);
   forward.sender_incarnation = Incarnation(3);
   forward.payload = "payload";
