--- a/src/config/generate.cc
+++ b/src/config/generate.cc
@@ -123,7 +123,7 @@
       const int64_t factor = this->Blocking() ? 2 : 4;
       return {*usual * factor,
               Answer("short_work_ms", usual) + ", " + this->PriorityAnswer(),
-              this->ShortWork() + " usually end within a " +
+              "Usually " + this->ShortWork() + " end within a " +
                   (this->Blocking() ? "half" : "quarter") +
                   " of this time; what holds a slot longer is long work."};
     }
--- a/src/config/questionnaire.cc
+++ b/src/config/questionnaire.cc
@@ -60,7 +60,12 @@
                     std::ostream& out, Json& object) {
   while (true) {
     PrintQuestion(question, out);
-    BOOST_OUTCOME_TRY(text, ReadAnswer(in, question));
+    const Result<std::string> answer = ReadAnswer(in, question);
+    if (answer.has_error()) {
+      out << "\n";
+      return answer.error();
+    }
+    const std::string& text = answer.value();
     if (text == "?") {
       out << "  " << question.help << "\n";
       continue;
--- a/tests/config/golden.cc
+++ b/tests/common/golden.h
@@ -1,21 +1,25 @@
-#include "tests/config/golden.h"
+#pragma once
 
 #include <criterion/criterion.h>
 
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <string>
 
 namespace cornelhill {
 
-std::string ReadFile(const std::string& path) {
+// Returns the content of a file of the repository, or an empty string.
+inline std::string ReadFile(const std::string& path) {
   std::ifstream input(path, std::ios::binary);
   std::ostringstream text;
   text << input.rdbuf();
   return text.str();
 }
 
-void ExpectFile(const std::string& path, const std::string& actual) {
+// Fails the test where the file at `path` differs from `actual`, names the
+// first line that differs and leaves `actual` at out/actual/PATH.
+inline void ExpectFile(const std::string& path, const std::string& actual) {
   const std::string expected = ReadFile(path);
   if (expected == actual) return;
   const std::filesystem::path copy = "out/actual/" + path;
--- a/tests/config/questionnaire_test.cc
+++ b/tests/config/questionnaire_test.cc
@@ -9,7 +9,7 @@
 #include "cornelhill/base/random.h"
 #include "cornelhill/config/declaration_json.h"
 #include "cornelhill/config/rule_fields.h"
-#include "tests/config/golden.h"
+#include "tests/common/golden.h"
 
 namespace cornelhill {
 namespace {
--- a/tests/config/refusals_test.cc
+++ b/tests/config/refusals_test.cc
@@ -7,7 +7,7 @@
 
 #include "cornelhill/config/declaration_json.h"
 #include "cornelhill/config/settings.h"
-#include "tests/config/golden.h"
+#include "tests/common/golden.h"
 
 namespace cornelhill {
 namespace {
--- a/tests/config/schemas_test.cc
+++ b/tests/config/schemas_test.cc
@@ -10,7 +10,7 @@
 
 #include "config/schema_checker.h"
 #include "cornelhill/config/settings.h"
-#include "tests/config/golden.h"
+#include "tests/common/golden.h"
 
 namespace cornelhill {
 namespace {
