--- a/include/cornelhill/control/operator_session.h
+++ b/include/cornelhill/control/operator_session.h
@@ -79,7 +79,7 @@
   // arrived.
   bool confirmed = false;
   std::optional<Endpoint> leader;
-  std::vector<ControlMember> members;
+  std::vector<MemberStatus> members;
   EffectReport report;
 };
 
