Keep control state in the replicated log

Cause: control kept its state in memory at one writer, so a restart lost the declaration and a second instance was of no use. Commands now go through the replicated log with synced storage, leases through the lease table, views through the distribution node, and an instance without a data directory joins as a learner under a new member id, is promoted once it has caught up, and the member whose address it took is removed.

--- a/include/cornelhill/control/control_messages.h
+++ b/include/cornelhill/control/control_messages.h
@@ -268,9 +268,33 @@
   bool operator==(const OperatorResponse&) const = default;
 };
 
+// A message of the replicated log, encoded by its own codec.
+struct ConsensusPacket {
+  std::string message;
+
+  bool operator==(const ConsensusPacket&) const = default;
+};
+
+// From a control instance without a data directory: asks to become a member.
+struct JoinRequest {
+  std::string name;
+  Endpoint endpoint;
+  uint64_t token = 0;  // Drawn once for each new data directory.
+
+  bool operator==(const JoinRequest&) const = default;
+};
+
+// The member id that the group has given to a joining instance.
+struct JoinReply {
+  uint64_t token = 0;
+  uint64_t member = 0;
+
+  bool operator==(const JoinReply&) const = default;
+};
+
 using ControlMessage =
     std::variant<Announcement, Renewal, RenewalAck, DomainSummary, SummaryAck,
                  LossReport, SpreadDigest, SpreadUpdate, OperatorRequest,
-                 OperatorResponse>;
+                 OperatorResponse, ConsensusPacket, JoinRequest, JoinReply>;
 
 }  // namespace cornelhill
--- a/include/cornelhill/control/operator_session.h
+++ b/include/cornelhill/control/operator_session.h
@@ -102,7 +102,7 @@
                                const CommandResponse& response);
 
 // Returns one line for each service that differs: "+name", "-name" or "~name".
-std::vector<std::string> DiffDeclarations(const Declaration& before,
+std::vector<std::string> ListServiceChanges(const Declaration& before,
                                           const Declaration& after);
 
 }  // namespace cornelhill
--- /dev/null
+++ b/include/cornelhill/daemon/control_log.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cornelhill/base/millis.h"
+#include "cornelhill/base/result.h"
+#include "cornelhill/consensus/log_store.h"
+#include "cornelhill/consensus/replica.h"
+#include "cornelhill/control/control_state.h"
+
+namespace cornelhill {
+
+// The replicated log of a control instance with its disk and the state machine
+// behind it. Not thread-safe; writes to disk on the calling thread.
+class ControlLog {
+ public:
+  struct Handlers {
+    std::function<void(const ConsensusMessage&)> send;
+    // A command was applied; called on every instance.
+    std::function<void(const Command&, const CommandResponse&)> on_applied;
+    std::function<void(const RoleChange&)> on_role;
+    // This instance must stop, for the reason given.
+    std::function<void(const std::string&)> on_halt;
+  };
+
+  using Done = std::function<void(const Result<CommandResponse>&)>;
+  // Called with the instant the confirmed round began at, or without where a
+  // quorum cannot be reached.
+  using Confirmed = std::function<void(std::optional<Millis>)>;
+
+  // Opens the data directory. Fails with `kNotFound` where it holds no member.
+  static Result<std::unique_ptr<ControlLog>> Open(const std::string& directory,
+                                                  Millis now, uint64_t seed,
+                                                  Handlers handlers);
+
+  // Prepares the data directory of the first member of a new group. Fails with
+  // `kConflict` where it holds a member's files.
+  static Result<void> Bootstrap(const std::string& directory,
+                                const std::string& address);
+
+  // Prepares the data directory of a member that joins a group.
+  static Result<void> Join(const std::string& directory, MemberId self);
+
+  void Tick(Millis now);
+  void Step(Millis now, ConsensusMessage message);
+
+  // Proposes a command. `done` is called with the response once a quorum has
+  // synced it, or with the error; never both, and exactly once.
+  void Propose(Millis now, const Command& command, Done done);
+
+  // Asks a quorum to confirm that this instance leads.
+  void Confirm(Millis now, Confirmed done);
+
+  Result<ProposalId> ChangeMembership(Millis now,
+                                      const MembershipChange& change);
+
+  const ControlState& State() const { return this->state; }
+  ReplicaStatus Status(Millis now) const { return this->replica.Status(now); }
+
+ private:
+  ControlLog(std::unique_ptr<LogStore> store, Replica replica,
+             ControlState state, Handlers handlers);
+
+  struct Waiting {
+    Term term;
+    Done done;
+  };
+
+  struct WaitingRead {
+    Millis started;
+    Confirmed done;
+  };
+
+  void Work(Millis now);
+  bool WorkOnce(Millis now);
+  void Apply(const LogEntry& entry);
+  void FailProposals(const std::string& reason);
+  void Halt(const std::string& reason);
+
+  std::unique_ptr<LogStore> store;
+  Replica replica;
+  ControlState state;
+  Handlers handlers;
+  std::map<LogIndex, Waiting> proposals;
+  std::map<ReadId, WaitingRead> reads;
+  uint64_t next_read = 1;
+  bool halted = false;
+};
+
+}  // namespace cornelhill
--- a/include/cornelhill/daemon/roles.h
+++ b/include/cornelhill/daemon/roles.h
@@ -10,6 +10,8 @@
 // prepared.
 Result<void> RunBalancer(const Settings& settings);
 Result<void> RunAgent(const Settings& settings);
-Result<void> RunControl(const Settings& settings);
+// `bootstrap` makes this instance the first member of a new group; it is given
+// once in the life of a group.
+Result<void> RunControl(const Settings& settings, bool bootstrap);
 
 }  // namespace cornelhill
--- a/src/control/control_codec.cc
+++ b/src/control/control_codec.cc
@@ -546,37 +546,50 @@
 std::string Encode(const ControlMessage& message) {
   pb::ControlMessage out;
   out.set_version(kProtocolVersion);
-  std::visit(Overloaded{[&out](const Announcement& body) {
-                          ToProto(body, out.mutable_announcement());
-                        },
-                        [&out](const Renewal& body) {
-                          ToProto(body, out.mutable_renewal());
-                        },
-                        [&out](const RenewalAck& body) {
-                          ToProto(body, out.mutable_renewal_ack());
-                        },
-                        [&out](const DomainSummary& body) {
-                          ToProto(body, out.mutable_domain_summary());
-                        },
-                        [&out](const SummaryAck& body) {
-                          ToProto(body, out.mutable_summary_ack());
-                        },
-                        [&out](const LossReport& body) {
-                          ToProto(body, out.mutable_loss_report());
-                        },
-                        [&out](const SpreadDigest& body) {
-                          ToProto(body, out.mutable_spread_digest());
-                        },
-                        [&out](const SpreadUpdate& body) {
-                          ToProto(body, out.mutable_spread_update());
-                        },
-                        [&out](const OperatorRequest& body) {
-                          ToProto(body, out.mutable_operator_request());
-                        },
-                        [&out](const OperatorResponse& body) {
-                          ToProto(body, out.mutable_operator_response());
-                        }},
-             message);
+  std::visit(
+      Overloaded{
+          [&out](const Announcement& body) {
+            ToProto(body, out.mutable_announcement());
+          },
+          [&out](const Renewal& body) { ToProto(body, out.mutable_renewal()); },
+          [&out](const RenewalAck& body) {
+            ToProto(body, out.mutable_renewal_ack());
+          },
+          [&out](const DomainSummary& body) {
+            ToProto(body, out.mutable_domain_summary());
+          },
+          [&out](const SummaryAck& body) {
+            ToProto(body, out.mutable_summary_ack());
+          },
+          [&out](const LossReport& body) {
+            ToProto(body, out.mutable_loss_report());
+          },
+          [&out](const SpreadDigest& body) {
+            ToProto(body, out.mutable_spread_digest());
+          },
+          [&out](const SpreadUpdate& body) {
+            ToProto(body, out.mutable_spread_update());
+          },
+          [&out](const OperatorRequest& body) {
+            ToProto(body, out.mutable_operator_request());
+          },
+          [&out](const OperatorResponse& body) {
+            ToProto(body, out.mutable_operator_response());
+          },
+          [&out](const ConsensusPacket& body) {
+            out.mutable_consensus_packet()->set_message(body.message);
+          },
+          [&out](const JoinRequest& body) {
+            pb::JoinRequest* join = out.mutable_join_request();
+            join->set_name(body.name);
+            ToProto(body.endpoint, join->mutable_endpoint());
+            join->set_token(body.token);
+          },
+          [&out](const JoinReply& body) {
+            out.mutable_join_reply()->set_token(body.token);
+            out.mutable_join_reply()->set_member(body.member);
+          }},
+      message);
   return out.SerializeAsString();
 }
 
@@ -617,6 +630,18 @@
       return Read(in.operator_request());
     case pb::ControlMessage::kOperatorResponse:
       return Read(in.operator_response());
+    case pb::ControlMessage::kConsensusPacket:
+      return ControlMessage(ConsensusPacket{in.consensus_packet().message()});
+    case pb::ControlMessage::kJoinRequest: {
+      BOOST_OUTCOME_TRY(
+          CheckText(in.join_request().name(), kMaxNameBytes, "member name"));
+      BOOST_OUTCOME_TRY(endpoint, FromProto(in.join_request().endpoint()));
+      return ControlMessage(JoinRequest{in.join_request().name(), endpoint,
+                                        in.join_request().token()});
+    }
+    case pb::ControlMessage::kJoinReply:
+      return ControlMessage(
+          JoinReply{in.join_reply().token(), in.join_reply().member()});
     case pb::ControlMessage::BODY_NOT_SET:
       break;
   }
--- a/src/control/operator_session.cc
+++ b/src/control/operator_session.cc
@@ -280,7 +280,7 @@
   return out;
 }
 
-std::vector<std::string> DiffDeclarations(const Declaration& before,
+std::vector<std::string> ListServiceChanges(const Declaration& before,
                                           const Declaration& after) {
   std::map<std::string, const ServiceDeclaration*> old;
   for (const ServiceDeclaration& service : before.services) {
--- a/src/cornelhilld/main.cc
+++ b/src/cornelhilld/main.cc
@@ -12,6 +12,9 @@
 
 ABSL_FLAG(std::string, config, "",
           "settings file (JSON); see docs/settings.md");
+ABSL_FLAG(bool, bootstrap, false,
+          "control only, once in the life of a group: start a new group with "
+          "this instance as its first member");
 ABSL_FLAG(bool, check_config, false, "check the settings file and exit");
 
 namespace cornelhill {
@@ -28,7 +31,7 @@
     case Role::kAgent:
       return RunAgent(settings);
     case Role::kControl:
-      return RunControl(settings);
+      return RunControl(settings, absl::GetFlag(FLAGS_bootstrap));
   }
   return Error{ErrorCode::kInvalidArgument, "unknown role"};
 }
@@ -44,6 +47,11 @@
     std::cerr << "cornelhilld: " << settings.error().message << "\n";
     return kExitUsage;
   }
+  if (absl::GetFlag(FLAGS_bootstrap) &&
+      settings.value().role != Role::kControl) {
+    std::cerr << "cornelhilld: --bootstrap is for the role control only\n";
+    return kExitUsage;
+  }
   if (absl::GetFlag(FLAGS_check_config)) {
     std::cout << path << ": settings of " << settings.value().instance
               << " are valid\n";
--- a/src/daemon/agent_role.cc
+++ b/src/daemon/agent_role.cc
@@ -17,10 +17,13 @@
 namespace {
 
 constexpr Millis kTickPeriod(5);
-constexpr Millis kControlPeriod(1000);
 constexpr Millis kCountersPeriod(10000);
 // A drained agent stays for late copies of requests that it answered.
 constexpr Millis kDrainLinger = kResendLifetime;
+constexpr Millis kDrainRequestPeriod(500);
+constexpr Millis kLeavePeriod(200);
+// Control may be out of reach; the lease then ends by itself.
+constexpr Millis kLeaveTimeout = kDrainLinger + Millis(5000);
 
 // A later start of the same instance has a higher incarnation.
 Incarnation NewIncarnation() {
@@ -56,9 +59,7 @@
         control(runtime.Io(), settings,
                 Subscription{false, {}, {settings.application}},
                 AnnouncementOf(settings, core.Identity()),
-                {[this](const auto& views) { this->OnViews(views); },
-                 [this](Millis until) { this->core.SetLease(until); },
-                 [this] { this->OnRefused(); }}) {}
+                {[this](const auto& views) { this->OnViews(views); }}) {}
 
   Result<void> Run() {
     BOOST_OUTCOME_TRY(this->data.Open(this->settings.data_address));
@@ -70,14 +71,16 @@
       this->OnUpstream(from, bytes);
     });
     BOOST_OUTCOME_TRY(this->control.Start());
-    this->control.Tick();
-    this->runtime.Every(kControlPeriod, [this] { this->control.Tick(); });
+    this->runtime.Every(kControlTick, [this] { this->control.Tick(); });
     this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
     this->runtime.Every(kCountersPeriod,
                         [this] { this->LogCounters("agent_counters"); });
     this->runtime.OnDrain([this] {
       this->core.Drain();
       this->control.RequestDrain();
+      this->runtime.Every(kDrainRequestPeriod, [this] {
+        if (!this->drain_in_effect) this->control.RequestDrain();
+      });
     });
     LogLine("agent_started")
         .Add("application", this->settings.application)
@@ -91,6 +94,7 @@
  private:
   void OnViews(const std::vector<const ServiceView*>& views) {
     for (const ServiceView* view : views) {
+      this->drain_in_effect = this->drain_in_effect || IsDraining(*view);
       AgentOutput out;
       this->core.SetView(MonotonicNow(), *view, &out);
       this->Carry(std::move(out));
@@ -124,14 +128,29 @@
         .Add("pipelined", counters.dropped_pipelined);
   }
 
-  void OnRefused() {
-    const Incarnation next = NewIncarnation();
-    LogLine("incarnation_replaced")
-        .Warn()
-        .Add("from", this->core.Identity().incarnation.Value())
-        .Add("to", next.Value());
-    this->core.Rejoin(next);
-    this->control.SetIncarnation(next);
+  bool IsDraining(const ServiceView& view) const {
+    for (const UpstreamInfo& upstream : view.upstreams) {
+      if (upstream.instance == this->settings.instance_id) {
+        return upstream.draining;
+      }
+    }
+    return false;
+  }
+
+  // The decisions follow the lease: they may use it for the next ticks, and a
+  // new incarnation starts with nothing gathered.
+  void FollowLease() {
+    const Incarnation present = this->control.CurrentIncarnation();
+    if (present != this->core.Identity().incarnation) {
+      LogLine("incarnation_replaced")
+          .Warn()
+          .Add("from", this->core.Identity().incarnation.Value())
+          .Add("to", present.Value());
+      this->core.Rejoin(present);
+    }
+    if (this->control.MayDecide()) {
+      this->core.SetLease(MonotonicNow() + kTickPeriod + kTickPeriod);
+    }
   }
 
   void OnData(Endpoint from, std::string_view bytes) {
@@ -169,6 +188,7 @@
   }
 
   void Tick() {
+    this->FollowLease();
     AgentOutput out;
     this->core.Tick(MonotonicNow(), &out);
     this->Carry(std::move(out));
@@ -182,7 +202,13 @@
     }
     const Millis now = MonotonicNow();
     if (!this->idle_since.has_value()) this->idle_since = now;
-    if (now - *this->idle_since >= kDrainLinger) this->runtime.Stop();
+    if (now - *this->idle_since < kDrainLinger) return;
+    if (this->control.HasLeft() || now - *this->idle_since > kLeaveTimeout) {
+      this->runtime.Stop();
+    } else if (now >= this->next_leave) {
+      this->next_leave = now + kLeavePeriod;
+      this->control.Leave();
+    }
   }
 
   void Carry(AgentOutput out) {
@@ -212,6 +238,8 @@
   DropLog drops;
   ControlClient control;
   std::optional<Millis> idle_since;
+  Millis next_leave;
+  bool drain_in_effect = false;
 };
 
 }  // namespace
--- a/src/daemon/balancer_role.cc
+++ b/src/daemon/balancer_role.cc
@@ -22,7 +22,6 @@
 
 namespace {
 
-constexpr Millis kControlPeriod(1000);
 // How long a draining balancer goes on: the fabric needs time to stop sending,
 // and answers in transit come back.
 constexpr Millis kDrainPeriod(3000);
@@ -44,8 +43,7 @@
         data(runtime.Io()),
         control(runtime.Io(), settings, Subscription{true, {}, {}},
                 std::nullopt,
-                {[this](const auto& views) { this->OnViews(views); }, nullptr,
-                 nullptr}) {}
+                {[this](const auto& views) { this->OnViews(views); }}) {}
 
   Result<void> Run() {
     BOOST_OUTCOME_TRY(this->data.Open(this->settings.data_address));
@@ -62,7 +60,7 @@
       });
     }
     BOOST_OUTCOME_TRY(this->control.Start());
-    this->runtime.Every(kControlPeriod, [this] { this->control.Tick(); });
+    this->runtime.Every(kControlTick, [this] { this->control.Tick(); });
     this->runtime.OnDrain([this] {
       this->runtime.Every(kDrainPeriod, [this] { this->runtime.Stop(); });
     });
--- a/src/daemon/control_client.cc
+++ b/src/daemon/control_client.cc
@@ -1,39 +1,83 @@
 #include "cornelhill/daemon/control_client.h"
 
-#include <algorithm>
 #include <boost/asio/post.hpp>
+#include <random>
 #include <utility>
 
 #include "cornelhill/base/hash.h"
 #include "cornelhill/base/log.h"
 #include "cornelhill/control/control_codec.h"
+#include "cornelhill/control/operator_session.h"
 
 namespace cornelhill {
 
 namespace {
 
-constexpr Millis kLeaseDuration(5000);
-constexpr size_t kRememberedRenewals = 16;
+uint64_t RandomSeed() {
+  std::random_device device;
+  return uint64_t{device()} << 32 | device();
+}
+
+SpreadMember SelfMember(const Settings& settings) {
+  SpreadMember self;
+  self.id = settings.instance_id;
+  self.endpoint = settings.data_address;
+  self.region = static_cast<uint32_t>(Hash64(settings.region));
+  self.failure_domain =
+      FailureDomainId(static_cast<uint32_t>(Hash64(settings.failure_domain)));
+  return self;
+}
+
+// The control instances as parents in the distribution tree.
+std::vector<SpreadMember> ControlMembers(const Settings& settings) {
+  std::vector<SpreadMember> members;
+  for (const ControlMember& control : settings.control) {
+    SpreadMember member;
+    member.id = InstanceId(Hash64(control.name));
+    member.endpoint = control.address;
+    member.control = true;
+    members.push_back(member);
+  }
+  return members;
+}
+
+// The control instances as collectors: they gather renewals of every failure
+// domain as long as the processes do not know each other.
+std::vector<SpreadMember> Collectors(const Settings& settings) {
+  std::vector<SpreadMember> members = ControlMembers(settings);
+  for (SpreadMember& member : members) {
+    member.control = false;
+    member.failure_domain = SelfMember(settings).failure_domain;
+  }
+  return members;
+}
 
 }  // namespace
 
 ControlClient::ControlClient(boost::asio::io_context& io,
                              const Settings& settings,
-                             Subscription subscription,
-                             std::optional<Announcement> announcement,
+                             const Subscription& subscription,
+                             const std::optional<Announcement>& announcement,
                              Handlers handlers)
     : io(io),
       settings(settings),
-      subscription(std::move(subscription)),
-      announcement(std::move(announcement)),
       handlers(std::move(handlers)),
       node(settings.instance,
-           {nullptr, [this](const std::string& member, std::string bytes) {
+           {nullptr,
+            [this](const std::string& member, std::string bytes) {
               boost::asio::post(this->io,
                                 [this, member, bytes = std::move(bytes)] {
                                   this->OnMessage(member, bytes);
                                 });
-            }}) {}
+            }}),
+      spread(MonotonicNow(), SelfMember(settings), subscription, RandomSeed()) {
+  const Millis now = MonotonicNow();
+  this->spread.SetMembers(now, ControlMembers(settings));
+  if (announcement.has_value()) {
+    this->lease.emplace(now, SelfMember(settings), *announcement, RandomSeed());
+    this->lease->SetMembers(now, Collectors(settings));
+  }
+}
 
 ControlClient::~ControlClient() { this->node.Stop(); }
 
@@ -46,55 +90,42 @@
 }
 
 void ControlClient::Tick() {
-  this->SendRenewal();
-  this->SendDigest();
+  const Millis now = MonotonicNow();
+  this->Carry(this->spread.OnTick(now));
+  if (this->lease.has_value()) this->Carry(this->lease->OnTick(now));
+}
+
+void ControlClient::Carry(const std::vector<Outgoing>& messages) {
+  for (const Outgoing& outgoing : messages) {
+    for (const ControlMember& member : this->settings.control) {
+      if (member.address != outgoing.endpoint) continue;
+      this->node.Send(member.name, Encode(outgoing.message));
+    }
+  }
 }
 
-void ControlClient::SendToAll(const ControlMessage& message) {
-  const std::string bytes = Encode(message);
+void ControlClient::RequestDrain() {
+  OperatorRequest request = DrainRequest(this->settings.instance_id, true);
+  request.request_id = "drain-" +
+                       std::to_string(this->settings.instance_id.Value()) +
+                       "-" + std::to_string(this->CurrentIncarnation().Value());
+  request.operator_name = this->settings.instance;
+  const std::string bytes = Encode(ControlMessage(request));
   for (const ControlMember& member : this->settings.control) {
     this->node.Send(member.name, bytes);
   }
 }
 
-void ControlClient::SendDigest() {
-  SpreadDigest digest;
-  digest.sender = this->settings.instance_id;
-  digest.number = ++this->digest_number;
-  digest.revision = this->store.CurrentRevision();
-  digest.hash = this->store.Hash(this->subscription);
-  digest.subscription_hash = HashSubscription(this->subscription);
-  digest.has_subscription = true;
-  digest.subscription = this->subscription;
-  this->SendToAll(digest);
-}
+void ControlClient::Leave() { this->Carry(this->lease->Leave(MonotonicNow())); }
 
-void ControlClient::SendRenewal() {
-  if (!this->announcement.has_value()) return;
-  ++this->announcement->sequence;
-  this->renewals[this->announcement->sequence] = MonotonicNow();
-  while (this->renewals.size() > kRememberedRenewals) {
-    this->renewals.erase(this->renewals.begin());
-  }
-  this->SendToAll(*this->announcement);
-}
+bool ControlClient::HasLeft() const { return this->lease->HasLeft(); }
 
-void ControlClient::RequestDrain() {
-  if (!this->announcement.has_value()) return;
-  OperatorRequest request;
-  request.request_id =
-      "drain-" + std::to_string(this->announcement->instance.Value()) + "-" +
-      std::to_string(this->announcement->incarnation.Value());
-  request.operator_name = this->settings.instance;
-  request.kind = OperatorRequestKind::kDrain;
-  request.instance = this->announcement->instance;
-  this->SendToAll(request);
+bool ControlClient::MayDecide() const {
+  return this->lease->MayDecide(MonotonicNow());
 }
 
-void ControlClient::SetIncarnation(Incarnation incarnation) {
-  if (!this->announcement.has_value()) return;
-  this->announcement->incarnation = incarnation;
-  this->renewals.clear();
+Incarnation ControlClient::CurrentIncarnation() const {
+  return this->lease->CurrentIncarnation();
 }
 
 void ControlClient::OnMessage(const std::string& member,
@@ -108,40 +139,23 @@
         .Add("detail", message.error().message);
     return;
   }
-  if (const auto* update = std::get_if<SpreadUpdate>(&message.value())) {
-    this->OnUpdate(*update);
-  } else if (const auto* ack = std::get_if<RenewalAck>(&message.value())) {
-    this->OnRenewalAck(*ack);
-  }
-}
-
-void ControlClient::OnUpdate(const SpreadUpdate& update) {
-  if (update.status != SpreadStatus::kOk) return;
-  // Never to a lower revision, and an update without a change is no news.
-  if (update.update.revision <= this->store.CurrentRevision()) return;
-  const Result<void> applied =
-      this->store.Apply(update.update, this->subscription);
-  if (!applied.has_value()) {
-    LogLine("update_refused").Warn().Add("detail", applied.error().message);
+  const Millis now = MonotonicNow();
+  if (const auto* ack = std::get_if<RenewalAck>(&message.value())) {
+    if (this->lease.has_value()) this->lease->OnAck(now, *ack);
     return;
   }
-  this->handlers.on_views(this->store.Views());
+  for (const ControlMember& known : this->settings.control) {
+    if (known.name != member) continue;
+    this->Carry(this->spread.OnMessage(now, known.address, message.value()));
+  }
+  this->ReportChange();
 }
 
-void ControlClient::OnRenewalAck(const RenewalAck& ack) {
-  if (!this->announcement.has_value() ||
-      ack.incarnation != this->announcement->incarnation) {
-    return;
-  }
-  if (ack.status == RenewalStatus::kRefused) {
-    this->handlers.on_refused();
-    return;
-  }
-  const auto sent = this->renewals.find(ack.sequence);
-  if (ack.status != RenewalStatus::kGranted || sent == this->renewals.end()) {
-    return;
-  }
-  this->handlers.on_lease(sent->second + kLeaseDuration);
+void ControlClient::ReportChange() {
+  const Revision revision = this->spread.EffectRevision();
+  if (!this->spread.HasEffect() || revision == this->reported) return;
+  this->reported = revision;
+  this->handlers.on_views(this->spread.Store().Views());
 }
 
 }  // namespace cornelhill
--- a/tests/control/session_test.cc
+++ b/tests/control/session_test.cc
@@ -148,7 +148,7 @@
   ServiceDeclaration added = after.services[0];
   added.name = "ingest";
   after.services.push_back(added);
-  cr_assert(DiffDeclarations(before, after) ==
+  cr_assert(ListServiceChanges(before, after) ==
             (std::vector<std::string>{"~aula", "+ingest", "-registro"}));
 }
 
