--- a/src/ctl/drain.cc
+++ b/src/ctl/drain.cc
@@ -11,7 +11,12 @@
   request.kind = OperatorRequestKind::kDrain;
   request.instance = InstanceId(Hash64(invocation.arguments[0]));
   const Result<OperatorResponse> response = AskControl(std::move(request));
-  if (response.has_error()) return ReportError(invocation, response.error());
+  if (response.has_error()) {
+    // Control knows the instance by its hash only.
+    const Error& error = response.error();
+    return ReportError(invocation, {error.code, invocation.arguments[0] + ": " +
+                                                    error.message});
+  }
   PrintTable(invocation, {{"revision", "instance"},
                           {{std::to_string(response.value().revision.Value()),
                             invocation.arguments[0]}}});
