--- a/src/ctl/change.cc
+++ b/src/ctl/change.cc
@@ -49,7 +49,13 @@
 ExitCode ChangeInstance(Invocation& invocation, OperatorRequestKind kind) {
   OperatorRequest request = MakeRequest(kind);
   request.instance = InstanceId(Hash64(invocation.arguments[0]));
-  const auto response = Ask(request);
+  Result<OperatorResponse> response = Ask(request);
+  if (response.has_value() &&
+      response.value().outcome == OperatorOutcome::kNotFound) {
+    // Control knows the hash of the name only.
+    response.value().message =
+        "no upstream of the name " + invocation.arguments[0] + " is known";
+  }
   const ExitCode code = ReportChange(invocation, request, response);
   if (code != ExitCode::kDone || !absl::GetFlag(FLAGS_wait)) return code;
   return WaitForRevision(invocation, response.value().revision);
