--- a/src/daemon/control_role.cc
+++ b/src/daemon/control_role.cc
@@ -356,7 +356,6 @@
   // Leading.
 
   void OnRole(const RoleChange& change) {
-    const Millis now = MonotonicNow();
     LogLine("role_changed")
         .Add("role", ToString(change.role))
         .Add("term", change.term.Value())
@@ -364,7 +363,15 @@
     this->leading = change.role == ReplicaRole::kLeader;
     this->term = change.term.Value();
     this->leases.reset();
-    this->leader = this->MemberOfLeader(change.leader);
+  }
+
+  // A learner hears of the leader before it has the membership that says where
+  // the leader is, so this is looked up again and again.
+  void FollowLeader(Millis now) {
+    std::optional<ControlMember> present =
+        this->MemberOfLeader(this->log->Status(now).leader);
+    if (present == this->leader) return;
+    this->leader = std::move(present);
     this->spread.SetLeader(
         now, this->leader.has_value()
                  ? std::optional<InstanceId>(IdOf(this->leader->name))
@@ -416,6 +423,7 @@
     if (this->log == nullptr) return;
     const Millis now = MonotonicNow();
     this->log->Tick(now);
+    this->FollowLeader(now);
     if (this->publish_due) {
       this->publish_due = false;
       this->ConfirmLeadership();
