--- a/bench/measure_head_of_line.cc
+++ b/bench/measure_head_of_line.cc
@@ -3,8 +3,8 @@
 // product without long work and for first come first served. Prints one line
 // for each scenario and seed. The workload is fixed: short work of 20 ms on
 // average offers 4 % of the slots and 10 % at the peak (40 s to 80 s of 120 s);
-// long work of 2 s on average offers 120 %. All work is non-repeatable and each
-// request opens a flow, so that only its caller's history tells its class.
+// long work of 2 s on average offers 120 %. Each request opens a flow, so that
+// only its caller's history tells its class.
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -24,6 +24,7 @@
           "Long requests of callers without history, in thousandths.");
 ABSL_FLAG(std::string, unproven, "unreserved",
           "Slots for unproven work: unreserved or any.");
+ABSL_FLAG(bool, repeatable, false, "Whether all work is repeatable.");
 ABSL_FLAG(uint32_t, seeds, 5, "Seeds to run, from 1.");
 
 namespace cornelhill {
@@ -74,6 +75,7 @@
       }
       job.request.key = KeyOf(caller, flow, 1);
       job.request.caller = CallerId(caller);
+      job.request.repeatable = absl::GetFlag(FLAGS_repeatable);
       jobs.emplace_back(job, is_long);
     }
   }
@@ -154,9 +156,11 @@
     if (i >= first_reserved && request.hint.has_value() && !is_short) break;
     if (agent.WouldStart(request)) return path[i];
   }
+  // Repeatable work without history can be taken out of a reserved slot again.
   const bool to_reserved =
       request.hint == WorkClass::kShort ||
-      (!request.hint.has_value() && UnprovenFlag() == UnprovenSlots::kAny);
+      (!request.hint.has_value() &&
+       (request.repeatable || UnprovenFlag() == UnprovenSlots::kAny));
   const auto begin = path.begin() + (to_reserved ? first_reserved : 0);
   const auto end = to_reserved ? path.end() : path.begin() + first_reserved;
   if (begin == end) return path[0];
@@ -218,6 +222,7 @@
             << " fresh_permille=" << absl::GetFlag(FLAGS_fresh_permille)
             << " fresh_long_permille="
             << absl::GetFlag(FLAGS_fresh_long_permille)
+            << " repeatable=" << absl::GetFlag(FLAGS_repeatable)
             << " unproven=" << absl::GetFlag(FLAGS_unproven)
             << " product_wait_p99_ms=" << product.wait_p99
             << " no_long_wait_p99_ms=" << alone.wait_p99
--- a/include/cornelhill/turn/class_memory.h
+++ b/include/cornelhill/turn/class_memory.h
@@ -47,7 +47,7 @@
 // Remembers callers and the classes of their flows. Callers with a queued or
 // running request are always kept; beyond `kMaxIdleCallers` idle callers and
 // `kMaxFlows` flows the least recently used one is forgotten. A remembered
-// caller takes at most 256 bytes and a flow at most 96, with their hash and
+// caller takes at most 256 bytes and a flow at most 112, with their hash and
 // list nodes. A forgotten caller starts again with a full token bucket and no
 // debt. Not thread-safe.
 class ClassMemory {
--- a/include/cornelhill/turn/turn_scheduler.h
+++ b/include/cornelhill/turn/turn_scheduler.h
@@ -51,7 +51,7 @@
 // no call to a clock. Not thread-safe: the owner serialises calls.
 //
 // A decision costs O(log callers + slots), and a change of the queue
-// O(log queued). A queued request takes at most 480 bytes with its hash and
+// O(log queued). A queued request takes at most 400 bytes with its hash and
 // tree nodes; callers and flows are bounded by `ClassMemory`. Movable, not
 // copyable.
 class TurnScheduler {
--- a/src/turn/turn_scheduler.cc
+++ b/src/turn/turn_scheduler.cc
@@ -37,6 +37,12 @@
   return Millis(std::min(max_wait, std::max(share, service / 1000)));
 }
 
+// The bound of memory in the header: this object, its key and hash node, nodes
+// in three ordered sets and the allocator's overhead for each.
+static_assert(sizeof(QueuedRequest) + sizeof(RequestKey) + 24 + 144 <= 400);
+// A caller's hash node and list node with the allocator's overhead.
+static_assert(sizeof(CallerRecord) + 16 + 16 + 48 <= 256);
+
 // The rule by which `ahead` started while `waiting` was queued.
 AheadRule RuleFor(const TurnDecision& ahead, const QueuedRequest& waiting) {
   const LaneGroup group = GroupOf(waiting.lane);
