control: Replace lost parents in sequence; measure distribution and leases

The suspicion now starts at 30 s and doubles, and a parent that never replied is left after 3 s.

The rule for mass expiry needs no count of upstreams removed before: a lease that ends within 5 s of another was not renewed after that one's end, so it already counts against its removal. The count was removed.

History is kept in two halves for the same reason as the responses: 1,000 joins pushed out what an operator did.

--- /dev/null
+++ b/bench/measure_config_spread.cc
@@ -0,0 +1,112 @@
+// Measures, in the driven clock, how long a change takes until it is in effect
+// at the last daemon, and the bytes per second that distribution costs a
+// daemon; beside it the same figures of naive polling. Bytes are those of the
+// encoded messages, sent and received, without framing of the transport.
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <map>
+#include <vector>
+
+#include "tests/control/spread_cluster.h"
+#include "tests/naive/polling_config.h"
+
+namespace {
+
+using cornelhill::InstanceId;
+using cornelhill::Millis;
+using cornelhill::fake::FakeQueue;
+using cornelhill::fake::Faults;
+using cornelhill::fake::kControlInstances;
+using cornelhill::fake::kFirstDaemon;
+using cornelhill::fake::SpreadCluster;
+using cornelhill::naive::PollingConfig;
+
+constexpr int kChanges = 20;
+constexpr Millis kBetween = Millis(3000);
+constexpr Millis kMost = Millis(60000);
+
+// Bytes per second of the busiest and of the mean process.
+struct Rate {
+  double most = 0;
+  double mean = 0;
+};
+
+Rate RateOf(const std::map<InstanceId, FakeQueue::Traffic>& traffic,
+            bool daemons, Millis span) {
+  Rate rate;
+  uint64_t processes = 0;
+  for (const auto& [id, bytes] : traffic) {
+    if ((id.Value() >= kFirstDaemon) != daemons) continue;
+    const double value = static_cast<double>(bytes.sent + bytes.received) *
+                         1000.0 / static_cast<double>(span.Count());
+    rate.most = std::max(rate.most, value);
+    rate.mean += value;
+    ++processes;
+  }
+  if (processes > 0) rate.mean /= static_cast<double>(processes);
+  return rate;
+}
+
+void Measure(uint64_t daemons, uint64_t seed) {
+  const Faults faults;
+  const auto domains =
+      static_cast<uint32_t>(std::max<uint64_t>(3, daemons / 40));
+  SpreadCluster cluster(seed, daemons, domains, faults);
+  cluster.Run(Millis(60000), [&cluster] { return cluster.Converged(); });
+  const int64_t start_ms = cluster.now.Count();
+  cluster.Run(Millis(10000));
+  PollingConfig polling(seed, daemons, kControlInstances, faults);
+  polling.Run(cluster.state, Millis(5000), false);
+
+  cluster.queue.ClearTraffic();
+  polling.queue.ClearTraffic();
+  const Millis begin = cluster.now;
+  const Millis polling_begin = polling.now;
+  int64_t last_most = 0;
+  int64_t last_sum = 0;
+  int64_t polling_most = 0;
+  for (int i = 0; i < kChanges; ++i) {
+    cluster.ChangeSomething();
+    const Millis at = cluster.now;
+    cluster.Run(kMost, [&cluster] { return cluster.Converged(); });
+    const int64_t took = (cluster.now - at).Count();
+    last_most = std::max(last_most, took);
+    last_sum += took;
+    cluster.Run(kBetween);
+
+    const Millis polling_at = polling.now;
+    polling.Run(cluster.state, kMost, true);
+    polling_most = std::max(polling_most, (polling.now - polling_at).Count());
+    polling.Run(cluster.state, kBetween, false);
+  }
+  const auto& traffic = cluster.queue.TrafficOf();
+  const Millis span = cluster.now - begin;
+  const Rate rate = RateOf(traffic, true, span);
+  const Rate control = RateOf(traffic, false, span);
+  const Millis polling_span = polling.now - polling_begin;
+  const Rate naive = RateOf(polling.queue.TrafficOf(), true, polling_span);
+  const Rate naive_control =
+      RateOf(polling.queue.TrafficOf(), false, polling_span);
+  std::printf(
+      "measure=config_spread daemons=%lu seed=%lu changes=%d "
+      "first_effect_ms=%ld last_daemon_ms_max=%ld last_daemon_ms_mean=%ld "
+      "daemon_bytes_s_mean=%.0f daemon_bytes_s_max=%.0f "
+      "control_bytes_s_max=%.0f reverts=%d naive_last_daemon_ms_max=%ld "
+      "naive_daemon_bytes_s_mean=%.0f naive_daemon_bytes_s_max=%.0f "
+      "naive_control_bytes_s_max=%.0f\n",
+      daemons, seed, kChanges, start_ms, last_most, last_sum / kChanges,
+      rate.mean, rate.most, control.most, cluster.reverts, polling_most,
+      naive.mean, naive.most, naive_control.most);
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+int main() {
+  for (const uint64_t daemons : {50, 200, 1000}) {
+    for (uint64_t seed = 1; seed <= 5; ++seed) Measure(daemons, seed);
+  }
+  return 0;
+}
--- a/include/cornelhill/control/control_state.h
+++ b/include/cornelhill/control/control_state.h
@@ -88,7 +88,9 @@
   // Last incarnation of an instance, present or departed; 0 where unknown.
   Incarnation LastIncarnation(InstanceId instance) const;
 
-  // Returns the last changes, the latest first; at most `kMaxHistory` are kept.
+  // Returns the last changes, the latest first. At most `kMaxHistory` are kept:
+  // half of operators and half of the lease table, so that a restart of many
+  // agents does not push out what operators did.
   std::vector<HistoryEntry> History(size_t limit) const;
 
   // Returns the kept response of a request, or nothing.
@@ -133,6 +135,7 @@
   void RefreshView(Revision revision, const std::string& application);
   void RefreshView(Revision revision, const Service& service);
   void Record(Revision revision, const Command& command, std::string summary);
+  void Remember(HistoryEntry entry);
   void Depart(Revision revision, InstanceId instance);
   ResponseRing& RingFor(const Command& command);
 
@@ -147,7 +150,8 @@
   ChangeRef declaration_change;
   ResponseRing operator_responses;
   ResponseRing membership_responses;
-  std::deque<HistoryEntry> history;  // The oldest first.
+  std::deque<HistoryEntry> operator_history;    // The oldest first.
+  std::deque<HistoryEntry> membership_history;  // The oldest first.
 };
 
 }  // namespace cornelhill
--- a/include/cornelhill/control/lease_table.h
+++ b/include/cornelhill/control/lease_table.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -31,12 +30,12 @@
 // becomes one. Made anew when an instance becomes leader. Not thread-safe.
 //
 // A lease that has ended removes its upstream once at least half of the leases
-// that its service had within one lease duration were renewed after that.
-// Where most end together, or the leader is cut off from all, that does not
-// happen, and the upstream stays for `kMassExpiryHold` or until a second
-// observer confirms the loss. A fixed wait of 1 s after the end of the lease
-// instead removed one upstream of seven when the leader was cut off from all
-// of them with 5 % loss before.
+// that its service had then were renewed after that, so that they do not end
+// within one lease duration. Where most end together, or the leader is cut off
+// from all, that does not happen, and the upstream stays for `kMassExpiryHold`
+// or until a second observer confirms the loss. A fixed wait of 1 s after the
+// end of the lease instead removed one upstream of seven when the leader was
+// cut off from all of them with 5 % loss before.
 class LeaseTable {
  public:
   // Grants every upstream of `state` a full lease, since this leader has not
@@ -76,7 +75,7 @@
     Announcement announcement;
     Millis expires;
     std::optional<Millis> expired_at;
-    // Leases of the service within the lease duration before `expired_at`.
+    // Leases of the service at `expired_at`.
     size_t service_leases = 0;
     bool held = false;
     bool leaving = false;
@@ -89,11 +88,6 @@
     Millis heard;
     std::vector<std::optional<Announcement>> slots;
   };
-  // The leases of one application.
-  struct Group {
-    std::set<InstanceId> members;
-    std::deque<Millis> removed;  // Ends of the leases of removed upstreams.
-  };
 
   // Extends or starts a lease. Returns the highest known incarnation where the
   // announced one is refused.
@@ -113,7 +107,7 @@
   Millis confirmed_until;
   Revision adopted;  // Revision of the state that `AdoptFrom` last saw.
   std::map<InstanceId, Lease> leases;
-  std::map<std::string, Group> groups;  // By application.
+  std::map<std::string, std::set<InstanceId>> groups;  // By application.
   std::map<std::pair<FailureDomainId, InstanceId>, Session> sessions;
   std::set<InstanceId> changed;  // Leases that may differ from the state.
   std::set<InstanceId> ended;    // Expired or leaving.
--- a/include/cornelhill/control/service_store.h
+++ b/include/cornelhill/control/service_store.h
@@ -36,6 +36,9 @@
 // Returns whether every service of `part` is in `whole`. Thread-safe.
 bool Covers(const Subscription& whole, const Subscription& part);
 
+// Returns the subscription with its names in order and without duplicates.
+Subscription Normalize(Subscription subscription);
+
 // Returns the subscription that holds the services of both. Thread-safe.
 Subscription Union(const Subscription& a, const Subscription& b);
 
--- a/include/cornelhill/control/spread_node.h
+++ b/include/cornelhill/control/spread_node.h
@@ -27,8 +27,14 @@
 // tenth of the round trips lost, a live parent is left once in 100,000 s.
 constexpr Millis kParentSilence = Millis(5000);
 
-// A suspected parent is asked again after this time.
-constexpr Millis kSuspicion = Millis(15000);
+// The same for a parent that has not replied yet.
+constexpr Millis kNewParentSilence = Millis(3000);
+
+// A suspected parent is asked again after this time, which doubles each time it
+// is suspected again, up to the longest. With a fixed 15 s a process whose next
+// five parents were lost came back to the first before it had reached the last.
+constexpr Millis kSuspicion = Millis(30000);
+constexpr Millis kLongestSuspicion = Millis(480000);
 
 // Least time between two updates to one child that it did not ask for.
 constexpr Millis kPushInterval = Millis(100);
@@ -144,10 +150,16 @@
   Millis started;
 
   std::vector<SpreadMember> members;
-  std::map<InstanceId, Millis> suspected_until;
+  struct Suspicion {
+    Millis until;
+    Millis length;
+  };
+  // Kept for `length` after `until`, so that a repeat is known as one.
+  std::map<InstanceId, Suspicion> suspicions;
   std::optional<InstanceId> leader;
   std::optional<SpreadMember> parent;
   Millis parent_heard;
+  bool parent_replied = false;
   // First of the unbroken replies that the parent cannot confirm.
   std::optional<Millis> unconfirmed_since;
   uint64_t parent_knows =
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -383,10 +384,16 @@
 
 void ControlState::Record(Revision revision, const Command& command,
                           std::string summary) {
-  this->history.push_back(
-      {{revision, command.operator_name, command.request_id},
-       std::move(summary)});
-  if (this->history.size() > kMaxHistory) this->history.pop_front();
+  this->Remember({{revision, command.operator_name, command.request_id},
+                  std::move(summary)});
+}
+
+void ControlState::Remember(HistoryEntry entry) {
+  std::deque<HistoryEntry>& history = entry.change.operator_name.empty()
+                                          ? this->membership_history
+                                          : this->operator_history;
+  history.push_back(std::move(entry));
+  if (history.size() > kMaxHistory / 2) history.pop_front();
 }
 
 Declaration ControlState::CurrentDeclaration() const {
@@ -408,9 +415,16 @@
 }
 
 std::vector<HistoryEntry> ControlState::History(size_t limit) const {
-  const size_t count = std::min(limit, this->history.size());
-  return {this->history.rbegin(),
-          this->history.rbegin() + static_cast<ptrdiff_t>(count)};
+  std::vector<HistoryEntry> merged;
+  std::merge(this->operator_history.begin(), this->operator_history.end(),
+             this->membership_history.begin(), this->membership_history.end(),
+             std::back_inserter(merged),
+             [](const HistoryEntry& a, const HistoryEntry& b) {
+               return a.change.revision < b.change.revision;
+             });
+  std::reverse(merged.begin(), merged.end());
+  if (merged.size() > limit) merged.resize(limit);
+  return merged;
 }
 
 std::string ControlState::Snapshot() const {
@@ -451,8 +465,11 @@
   };
   add_ring(this->operator_responses, out.mutable_operator_requests());
   add_ring(this->membership_responses, out.mutable_membership_requests());
-  for (const HistoryEntry& entry : this->history) {
-    ToProto(entry, out.add_history());
+  for (const auto* entries :
+       {&this->operator_history, &this->membership_history}) {
+    for (const HistoryEntry& entry : *entries) {
+      ToProto(entry, out.add_history());
+    }
   }
   for (const ServiceChange& change : this->store.Export()) {
     ToProto(change, out.add_views());
@@ -521,7 +538,7 @@
     }
     for (const pb::HistoryEntry& entry : in.history()) {
       BOOST_OUTCOME_TRY(read, FromProto(entry));
-      out.history.push_back(std::move(read));
+      out.Remember(std::move(read));
     }
     std::vector<ServiceChange> views;
     for (const pb::ServiceChange& change : in.views()) {
--- a/src/control/lease_table.cc
+++ b/src/control/lease_table.cc
@@ -28,10 +28,9 @@
   if (lease.announcement.application != announcement.application) {
     const auto former = this->groups.find(lease.announcement.application);
     if (former != this->groups.end()) {
-      former->second.members.erase(announcement.instance);
+      former->second.erase(announcement.instance);
     }
-    this->groups[announcement.application].members.insert(
-        announcement.instance);
+    this->groups[announcement.application].insert(announcement.instance);
   }
   lease = Lease();
   lease.announcement = announcement;
@@ -173,17 +172,11 @@
 }
 
 void LeaseTable::MarkExpired(Millis now) {
-  for (auto& [application, group] : this->groups) {
-    std::erase_if(group.removed,
-                  [now](Millis at) { return at <= now - kLeaseDuration; });
-  }
   for (auto& [instance, lease] : this->leases) {
     if (lease.expired_at || lease.leaving || lease.expires > now) continue;
-    const Group& group = this->groups.at(lease.announcement.application);
     lease.expired_at = lease.expires;
-    // Those removed just before count too: the loss of a service does not
-    // become a smaller one by removing its first part.
-    lease.service_leases = group.members.size() + group.removed.size();
+    lease.service_leases =
+        this->groups.at(lease.announcement.application).size();
     this->ended.insert(instance);
     this->changed.erase(instance);
   }
@@ -199,8 +192,8 @@
     return true;
   }
   size_t renewed = 0;
-  const Group& group = this->groups.at(lease.announcement.application);
-  for (const InstanceId instance : group.members) {
+  for (const InstanceId instance :
+       this->groups.at(lease.announcement.application)) {
     const Lease& other = this->leases.at(instance);
     if (!other.expired_at && !other.leaving &&
         other.expires - kLeaseDuration >= *lease.expired_at) {
@@ -252,9 +245,7 @@
     Lease& lease = this->leases.at(instance);
     const auto known = state.Upstreams().find(instance);
     if (known == state.Upstreams().end()) {
-      Group& group = this->groups.at(lease.announcement.application);
-      group.members.erase(instance);
-      if (lease.expired_at) group.removed.push_back(*lease.expired_at);
+      this->groups.at(lease.announcement.application).erase(instance);
       this->leases.erase(instance);
       this->proposed.erase(instance);
       it = this->ended.erase(it);
@@ -270,9 +261,8 @@
           {{}, {}, UpstreamLeave{instance, lease.announcement.incarnation}}));
     }
   }
-  std::erase_if(this->groups, [](const auto& entry) {
-    return entry.second.members.empty() && entry.second.removed.empty();
-  });
+  std::erase_if(this->groups,
+                [](const auto& entry) { return entry.second.empty(); });
   return out;
 }
 
--- a/src/control/service_store.cc
+++ b/src/control/service_store.cc
@@ -90,6 +90,15 @@
                        part.applications.begin(), part.applications.end());
 }
 
+Subscription Normalize(Subscription subscription) {
+  for (std::vector<std::string>* names :
+       {&subscription.names, &subscription.applications}) {
+    std::sort(names->begin(), names->end());
+    names->erase(std::unique(names->begin(), names->end()), names->end());
+  }
+  return Union(subscription, {});
+}
+
 Subscription Union(const Subscription& a, const Subscription& b) {
   Subscription out;
   out.all = a.all || b.all;
--- a/src/control/spread_node.cc
+++ b/src/control/spread_node.cc
@@ -24,7 +24,7 @@
 SpreadNode::SpreadNode(Millis now, const SpreadMember& self,
                        const Subscription& subscription, uint64_t seed)
     : self(self),
-      own(subscription),
+      own(Normalize(subscription)),
       random(seed),
       started(now),
       parent_heard(now) {
@@ -44,7 +44,7 @@
 }
 
 void SpreadNode::Subscribe(const Subscription& subscription) {
-  this->own = subscription;
+  this->own = Normalize(subscription);
   this->RefreshWanted();
 }
 
@@ -65,8 +65,8 @@
 }
 
 void SpreadNode::ChooseParent(Millis now) {
-  std::erase_if(this->suspected_until, [now](const auto& suspicion) {
-    return suspicion.second <= now;
+  std::erase_if(this->suspicions, [now](const auto& entry) {
+    return entry.second.until + entry.second.length <= now;
   });
   std::optional<SpreadMember> next;
   if (this->self.control) {
@@ -77,13 +77,16 @@
     }
   } else {
     std::set<InstanceId> suspected;
-    for (const auto& [id, until] : this->suspected_until) suspected.insert(id);
+    for (const auto& [id, suspicion] : this->suspicions) {
+      if (suspicion.until > now) suspected.insert(id);
+    }
     const SpreadMember* found = ParentOf(this->self, this->members, suspected);
     if (found != nullptr) next = *found;
   }
   if (next == this->parent) return;
   this->parent = next;
   this->parent_heard = now;
+  this->parent_replied = false;
   this->parent_knows = 0;
   this->unconfirmed_since.reset();
   // Replies of the former parent must not be taken for the new one's.
@@ -92,11 +95,15 @@
 }
 
 void SpreadNode::Suspect(Millis now, InstanceId id) {
-  this->suspected_until[id] = now + kSuspicion;
+  Suspicion& suspicion = this->suspicions[id];
+  suspicion.length = suspicion.length == Millis()
+                         ? kSuspicion
+                         : std::min(suspicion.length * 2, kLongestSuspicion);
+  suspicion.until = now + suspicion.length;
   this->ChooseParent(now);
   if (!this->parent && !this->self.control) {
     // Nobody is left: all get another chance.
-    this->suspected_until.clear();
+    this->suspicions.clear();
     this->ChooseParent(now);
   }
 }
@@ -228,6 +235,7 @@
   if (update.number != 0) {
     if (!this->digests_sent.contains(update.number)) return out;
     this->parent_heard = now;
+    this->parent_replied = true;
   }
   switch (update.status) {
     case SpreadStatus::kFull:
@@ -359,13 +367,15 @@
   });
   if (this->children.size() != before) this->RefreshWanted();
 
-  if (this->parent && now - this->parent_heard > kParentSilence) {
+  const Millis silence =
+      this->parent_replied ? kParentSilence : kNewParentSilence;
+  if (this->parent && now - this->parent_heard > silence) {
     if (this->self.control) {
       this->parent_heard = now;
     } else {
       this->Suspect(now, this->parent->id);
     }
-  } else if (!this->suspected_until.empty()) {
+  } else if (!this->suspicions.empty()) {
     this->ChooseParent(now);
   }
   if (now >= this->next_digest) this->AppendDigest(now, &out);
--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -160,6 +160,23 @@
   cr_assert(restored.value().Apply(Revision(revision + 1), put) == first);
 }
 
+// Guards against a history of an operator's changes that a restart of many
+// agents pushes out, and against one that a restore reorders.
+Test(control_state, history_keeps_operator_changes) {
+  ControlState state;
+  state.Apply(Revision(1), Put("a1", "ana", 0, {Declare("x", 1)}));
+  for (uint64_t i = 2; i < 1000; ++i) {
+    state.Apply(Revision(i), {std::to_string(i), "",
+                              UpstreamJoin{Announce(1 + i % 7, i, "x-app")}});
+  }
+  const std::vector<HistoryEntry> history = state.History(1000);
+  cr_assert_leq(history.size(), 256);
+  cr_assert(history.front().change.revision == Revision(999));
+  cr_assert(history.back().change == (ChangeRef{Revision(1), "ana", "a1"}));
+  cr_assert(ControlState::Restore(state.Snapshot()).value().History(1000) ==
+            history);
+}
+
 // Guards against packets of an old life of a service or upstream that are taken
 // for the present one.
 Test(control_state, ids_and_incarnations_are_not_reused) {
--- a/tests/control/session_test.cc
+++ b/tests/control/session_test.cc
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <map>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -120,6 +121,100 @@
   cr_assert(fake::EqualsGolden("two_operators.txt", log));
 }
 
+// Guards against two winners of one base, and against an operator who is told
+// another outcome than the log holds, while requests and responses are lost,
+// doubled and reordered and control restarts from its snapshot.
+Test(session, at_most_one_winner_for_a_base_under_faults) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    fake::Faults faults;
+    faults.loss = 0.2;
+    faults.duplication = 0.1;
+    fake::FakeQueue queue(seed, faults);
+    Random random(seed);
+    Control control;
+    const InstanceId server(1);
+    struct Operator {
+      OperatorSession session;
+      Revision base;
+      bool reading = false;
+    };
+    std::vector<Operator> operators;
+    for (uint64_t i = 0; i < 4; ++i) {
+      operators.push_back(
+          {OperatorSession("op" + std::to_string(i), {{0x7f000001, 7000}},
+                           seed * 100 + i),
+           Revision(), false});
+    }
+    std::map<Revision, std::string> winner_of;  // By base: request id.
+    Millis now;
+    const auto send = [&](uint64_t i, const OperatorSend& message) {
+      queue.Send(now, InstanceId(10 + i), server,
+                 Encode(ControlMessage(message.request)));
+    };
+    const auto begin = [&](uint64_t i) {
+      Operator& one = operators[i];
+      OperatorRequest request =
+          one.reading
+              ? DeclarationRequest()
+              : ApplyRequest(
+                    one.base,
+                    TwoServices(static_cast<uint32_t>(1 + random.Below(1000))));
+      send(i, one.session.Begin(now, request));
+    };
+    for (uint64_t i = 0; i < operators.size(); ++i) begin(i);
+    for (; now < Millis(60000); now += Millis(1)) {
+      if (random.Chance(0.001)) {
+        Result<ControlState> restored =
+            ControlState::Restore(control.state.Snapshot());
+        cr_assert(restored.has_value());
+        control.state = std::move(restored.value());
+      }
+      for (uint64_t i = 0; i < operators.size(); ++i) {
+        const auto again = operators[i].session.OnTick(now);
+        if (again) send(i, *again);
+      }
+      while (queue.Next() && *queue.Next() <= now) {
+        const fake::FakeQueue::Delivery delivery = queue.Pop();
+        const Result<ControlMessage> message =
+            DecodeControlMessage(delivery.bytes);
+        cr_assert(message.has_value());
+        if (delivery.to == server) {
+          queue.Send(now, server, delivery.from,
+                     Encode(ControlMessage(control.Answer(
+                         std::get<OperatorRequest>(message.value())))));
+          continue;
+        }
+        const uint64_t i = delivery.to.Value() - 10;
+        Operator& one = operators[i];
+        const auto response = one.session.OnResponse(
+            now, std::get<OperatorResponse>(message.value()));
+        if (!response) continue;
+        if (one.reading) {
+          one.base = response->declaration_revision;
+        } else if (response->outcome == OperatorOutcome::kOk) {
+          const auto [winner, first] =
+              winner_of.emplace(one.base, response->request_id);
+          cr_assert(first, "seed %lu base %lu has two winners", seed,
+                    one.base.Value());
+        } else {
+          cr_assert(response->outcome == OperatorOutcome::kConflict);
+          cr_assert(response->lost_to.request_id != response->request_id);
+        }
+        one.reading = !one.reading;
+        begin(i);
+      }
+    }
+    cr_assert(winner_of.size() > 10, "seed %lu: %zu", seed, winner_of.size());
+    for (const HistoryEntry& entry : control.state.History(1000)) {
+      for (const auto& [base, id] : winner_of) {
+        if (id == entry.change.request_id) {
+          cr_assert(base < entry.change.revision);
+        }
+      }
+    }
+  }
+}
+
 // Guards against an operator's tool that accepts the state of an instance which
 // does not lead or cannot confirm it, or gives up there.
 Test(session, tool_follows_the_leader_and_waits_for_confirmation) {
--- a/tests/control/spread_cluster.h
+++ b/tests/control/spread_cluster.h
@@ -19,6 +19,7 @@
 
 constexpr uint64_t kServices = 20;
 constexpr uint64_t kControlInstances = 3;
+constexpr uint64_t kFirstDaemon = 100;
 
 // A declaration of `kServices` services, the rules of one of them varied.
 inline Declaration SampleDeclaration(uint32_t variation) {
@@ -58,7 +59,7 @@
     }
     for (uint64_t i = 0; i < daemons; ++i) {
       const auto domain = static_cast<uint32_t>(i % domains);
-      this->AddMember(100 + i, domain / 3, 1 + domain, false);
+      this->AddMember(kFirstDaemon + i, domain / 3, 1 + domain, false);
     }
     for (const SpreadMember& member : this->members) this->Start(member.id);
     this->Change({"declare", "ana", PutDeclaration{{}, SampleDeclaration(0)}});
@@ -191,9 +192,10 @@
   }
 
   const SpreadMember& MemberOf(InstanceId id) const {
-    return *std::find_if(
-        this->members.begin(), this->members.end(),
-        [id](const SpreadMember& member) { return member.id == id; });
+    const uint64_t value = id.Value();
+    return this->members[value < kFirstDaemon
+                             ? value - 1
+                             : kControlInstances + value - kFirstDaemon];
   }
 
   Millis now;
--- a/tests/control/spread_node_test.cc
+++ b/tests/control/spread_node_test.cc
@@ -72,6 +72,36 @@
   }
 }
 
+// Guards against daemons that wait for a relay which never returns: several
+// relays, a follower of the leader among them, are lost at once and for good.
+Test(spread_node, relays_lost_for_good_are_replaced) {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    SpreadCluster cluster(seed, 80, 4, Faults());
+    cluster.Run(Millis(20000));
+    std::map<InstanceId, size_t> relays;
+    for (const auto& [id, node] : cluster.nodes) {
+      if (node->ChildCount() > 0 && id != cluster.leader) {
+        relays[id] = node->ChildCount();
+      }
+    }
+    cr_assert(relays.size() > 4);
+    int lost = 0;
+    for (const auto& [id, children] : relays) {
+      if (lost < 5 || cluster.random.Chance(0.5)) {
+        cluster.Stop(id);
+        ++lost;
+      }
+    }
+    cluster.ChangeSomething();
+    cluster.Run(Millis(60000), [&cluster] { return cluster.Converged(); });
+    cr_assert(cluster.Converged(), "seed %lu", seed);
+    cr_assert_eq(cluster.reverts, 0, "seed %lu", seed);
+    for (const auto& [id, node] : cluster.nodes) {
+      cr_assert(node->ChildCount() <= kMaxChildren);
+    }
+  }
+}
+
 // Guards against invariant 8 broken by an old leader that is cut off together
 // with some daemons: they keep what they have, and those of them that restart
 // there take nothing, since what it offers may be below what they had.
@@ -119,6 +149,60 @@
   }
 }
 
+// Guards against a parent that offers an older state as confirmed, e.g. one
+// restored from an old snapshot: in a reply, in an unasked update, as a delta
+// or whole, under a lower or the same term.
+Test(spread_node, lower_term_or_revision_is_not_taken) {
+  const Subscription all{true, {}, {}};
+  ControlState old;
+  old.Apply(Revision(1),
+            {"1", "ana", PutDeclaration{{}, fake::SampleDeclaration(0)}});
+  const StoreUpdate old_whole = old.Store().Whole(all);
+  ControlState state = old;
+  for (uint64_t i = 2; i <= 9; ++i) {
+    state.Apply(Revision(i), {std::to_string(i), "",
+                              UpstreamJoin{fake::SampleAnnouncement(i, 1)}});
+  }
+  const SpreadMember parent{InstanceId(1), {0x7f000001, 1}, 0, {}, true};
+  const SpreadMember self{InstanceId(9), {0x7f000001, 9}, 0, {}, false};
+  SpreadNode node(Millis(0), self, all, 1);
+  node.SetMembers(Millis(0), {parent});
+  Millis now(1000);
+  const auto offer = [&](uint64_t term, const StoreUpdate& update,
+                         bool as_reply) {
+    now = std::max(now + Millis(1), node.NextTick());
+    const std::vector<Outgoing> sent = node.OnTick(now);
+    cr_assert_eq(sent.size(), 1);
+    SpreadUpdate message;
+    message.sender = parent.id;
+    const auto& digest = std::get<SpreadDigest>(sent[0].message);
+    if (as_reply) message.number = digest.number;
+    message.term = term;
+    message.subscription_hash = digest.subscription_hash;
+    message.update = update;
+    (void)node.OnMessage(now, parent.endpoint, message);
+  };
+  offer(2, state.Store().Whole(all), false);
+  cr_assert(!node.HasEffect());
+  offer(2, state.Store().Whole(all), true);
+  cr_assert(node.HasEffect() && node.EffectRevision() == Revision(9));
+  for (const bool as_reply : {true, false}) {
+    for (const uint64_t term : {1, 2, 3}) {
+      offer(term, old_whole, as_reply);
+      offer(term, old.Store().UpdateSince(Revision(1), all), as_reply);
+      cr_assert(node.EffectRevision() == Revision(9));
+      cr_assert_eq(node.Term(), 2);
+    }
+    state.Apply(Revision(state.CurrentRevision().Value() + 1),
+                {as_reply ? "x" : "y", "",
+                 UpstreamJoin{fake::SampleAnnouncement(50, as_reply)}});
+    offer(1, state.Store().Whole(all), as_reply);
+    cr_assert(node.EffectRevision() == Revision(9));
+  }
+  cr_assert(node.Counters().lower_revision > 0);
+  cr_assert(node.Counters().lower_term > 0);
+}
+
 // Guards against `status` that misses processes or grows with them.
 Test(spread_node, report_counts_every_process_in_bounded_size) {
   SpreadCluster cluster(3, 200, 6, Faults());
