--- a/tests/consensus/codec_test.cc
+++ b/tests/consensus/codec_test.cc
@@ -60,7 +60,7 @@
   append.entries[1].index = 9;
   cr_assert(refused());
   append.entries = {{2, Term(6), EntryKind::kCommand,
-                     std::string(kMaxCommandBytes + 1, 'x')}};
+                     std::string(kMaxLogCommandBytes + 1, 'x')}};
   cr_assert(refused());
   append.entries = {{2, Term(0), EntryKind::kCommand, ""}};
   cr_assert(refused());
--- a/tests/consensus/replica_test.cc
+++ b/tests/consensus/replica_test.cc
@@ -55,7 +55,7 @@
   replica->Step(now, {MemberId(2), MemberId(1), next, VoteReply{true, true}});
   Persist(replica, now);
   replica->Step(now, {MemberId(2), MemberId(1), next, VoteReply{false, true}});
-  cr_assert(replica->Status(now).role == Role::kLeader);
+  cr_assert(replica->Status(now).role == ReplicaRole::kLeader);
 }
 
 // Guards against a returning isolated member that raises the term and so stops
@@ -225,10 +225,10 @@
     return done.has_value() ? ErrorCode() : done.error().code;
   };
   const auto row = [&] {
-    for (const MemberStatus& member : replica.Status(cluster.Now()).members) {
+    for (const ReplicaMemberStatus& member : replica.Status(cluster.Now()).members) {
       if (member.member.id == MemberId(4)) return member;
     }
-    return MemberStatus();
+    return ReplicaMemberStatus();
   };
   cr_assert_eq(replica.Status(cluster.Now()).faults_tolerated, 0);
   cr_assert(change(RemoveMember{others[1]->id}) == ErrorCode::kUnavailable);
