State the loss of an upstream in the view of its service

Cause: an agent that takes over buckets of a crashed home cannot tell from the list of upstreams whether the home left as planned or was lost, so it would either run a resent request twice or answer may_have_run after every planned change. A leave now says whether the upstream's knowledge was lost, a higher incarnation of a present instance counts as a loss, and the view lists losses until the leader forgets them after 25 s. Ruled out: quarantine after every change of membership, which breaks flows through planned changes. Seen: the new test fails when UpstreamLeave drops the mark, since the view lists nothing.

--- a/include/cornelhill/control/command.h
+++ b/include/cornelhill/control/command.h
@@ -53,10 +53,21 @@
 struct UpstreamLeave {
   InstanceId instance;
   Incarnation incarnation;
+  // Its agent did not say that it leaves: what it knew of flows is lost.
+  bool lost = false;
 
   bool operator==(const UpstreamLeave&) const = default;
 };
 
+// Ends the time in which the loss of an upstream is stated in the view of its
+// service.
+struct ForgetLost {
+  InstanceId instance;
+  Incarnation incarnation;
+
+  bool operator==(const ForgetLost&) const = default;
+};
+
 // Starts (`draining`) or ends the drain of an upstream.
 struct UpstreamDrain {
   InstanceId instance;
@@ -78,7 +89,7 @@
   std::string request_id;
   std::string operator_name;  // Empty for commands of the lease table.
   std::variant<PutDeclaration, UpstreamJoin, UpstreamLeave, UpstreamDrain,
-               UpstreamWeight>
+               UpstreamWeight, ForgetLost>
       body;
 
   bool operator==(const Command&) const = default;
--- a/include/cornelhill/control/control_state.h
+++ b/include/cornelhill/control/control_state.h
@@ -81,6 +81,11 @@
     return this->declaration_change;
   }
 
+  // Losses that are still stated in views, by application.
+  const std::map<std::string, std::vector<LostUpstream>>& Lost() const {
+    return this->lost;
+  }
+
   const std::map<InstanceId, KnownUpstream>& Upstreams() const {
     return this->upstreams;
   }
@@ -127,6 +132,8 @@
                           const UpstreamJoin& join);
   CommandResponse Execute(Revision revision, const Command& command,
                           const UpstreamLeave& leave);
+  CommandResponse Execute(Revision revision, const Command& command,
+                          const ForgetLost& forget);
   CommandResponse Execute(Revision revision, const Command& command,
                           const UpstreamDrain& drain);
   CommandResponse Execute(Revision revision, const Command& command,
@@ -137,12 +144,15 @@
   void Record(Revision revision, const Command& command, std::string summary);
   void Remember(HistoryEntry entry);
   void Depart(Revision revision, InstanceId instance);
+  void NoteLoss(const Announcement& announcement);
   ResponseRing& RingFor(const Command& command);
 
   ServiceStore store;
   std::map<std::string, Service> services;  // By name.
   std::map<InstanceId, KnownUpstream> upstreams;
   std::map<std::string, std::set<InstanceId>> by_application;
+  // Losses that are still stated in views, by application.
+  std::map<std::string, std::vector<LostUpstream>> lost;
   std::map<InstanceId, Departed> departed;
   std::set<std::pair<Revision, InstanceId>> departed_order;
   ServiceId last_service_id;
--- a/include/cornelhill/control/lease_table.h
+++ b/include/cornelhill/control/lease_table.h
@@ -22,6 +22,10 @@
 // and no second observer confirms the loss.
 constexpr Millis kMassExpiryHold = Millis(30000);
 
+// How long the loss of an upstream is stated in views. Agents that learn of it
+// answer resent requests with care for 10 s; the rest covers distribution.
+constexpr Millis kLossStated = Millis(25000);
+
 // Proposals of one tick.
 constexpr size_t kMaxProposals = 256;
 
@@ -100,6 +104,9 @@
   void AdoptFrom(Millis now, const ControlState& state);
   void MarkExpired(Millis now);
   bool IsRemovable(Millis now, const Lease& lease) const;
+  std::string NextRequestId();
+  void ForgetLosses(Millis now, const ControlState& state,
+                    std::vector<Command>* out);
   bool MayPropose(Millis now, InstanceId instance);
   Command Propose(Millis now, InstanceId instance, Command command);
 
@@ -112,6 +119,8 @@
   std::set<InstanceId> changed;  // Leases that may differ from the state.
   std::set<InstanceId> ended;    // Expired or leaving.
   std::map<InstanceId, Millis> proposed;
+  // When each stated loss is to be forgotten.
+  std::map<std::pair<InstanceId, Incarnation>, Millis> losses;
   uint64_t proposals = 0;
 };
 
--- a/include/cornelhill/control/operator_session.h
+++ b/include/cornelhill/control/operator_session.h
@@ -103,6 +103,6 @@
 
 // Returns one line for each service that differs: "+name", "-name" or "~name".
 std::vector<std::string> ListServiceChanges(const Declaration& before,
-                                          const Declaration& after);
+                                            const Declaration& after);
 
 }  // namespace cornelhill
--- a/include/cornelhill/control/service_change.h
+++ b/include/cornelhill/control/service_change.h
@@ -42,6 +42,7 @@
   Endpoint address;
   TurnRules rules;
   std::string application;
+  std::vector<LostUpstream> lost;
   // Of the last change of `application`. A subscriber to the earlier one is
   // told that the service is gone.
   Revision application_revision;
--- a/src/control/control_codec.cc
+++ b/src/control/control_codec.cc
@@ -489,7 +489,13 @@
           {},
           {},
           UpstreamLeave{InstanceId(in.upstream_leave().instance()),
-                        Incarnation(in.upstream_leave().incarnation())}};
+                        Incarnation(in.upstream_leave().incarnation()),
+                        in.upstream_leave().lost()}};
+    case pb::Command::kForgetLost:
+      return Command{{},
+                     {},
+                     ForgetLost{InstanceId(in.forget_lost().instance()),
+                                Incarnation(in.forget_lost().incarnation())}};
     case pb::Command::kUpstreamDrain:
       return Command{{},
                      {},
@@ -530,6 +536,12 @@
             out.mutable_upstream_leave()->set_instance(body.instance.Value());
             out.mutable_upstream_leave()->set_incarnation(
                 body.incarnation.Value());
+            out.mutable_upstream_leave()->set_lost(body.lost);
+          },
+          [&out](const ForgetLost& body) {
+            out.mutable_forget_lost()->set_instance(body.instance.Value());
+            out.mutable_forget_lost()->set_incarnation(
+                body.incarnation.Value());
           },
           [&out](const UpstreamDrain& body) {
             out.mutable_upstream_drain()->set_instance(body.instance.Value());
--- a/src/control/control_proto.cc
+++ b/src/control/control_proto.cc
@@ -226,6 +226,11 @@
     ToProto(in.header.rules, out->mutable_rules());
     out->set_application(in.header.application);
     out->set_application_revision(in.header.application_revision.Value());
+    for (const LostUpstream& lost : in.header.lost) {
+      pb::LostUpstream* added = out->add_lost();
+      added->set_instance(lost.instance.Value());
+      added->set_incarnation(lost.incarnation.Value());
+    }
   }
   for (const UpstreamChange& change : in.upstreams) {
     pb::Upstream* upstream = out->add_upstreams();
@@ -241,7 +246,8 @@
 
 Result<ServiceChange> FromProto(const pb::ServiceChange& in) {
   if (in.upstreams_size() > static_cast<int>(kMaxUpstreamsPerService) ||
-      in.removals_size() > static_cast<int>(kMaxUpstreamsPerService)) {
+      in.removals_size() > static_cast<int>(kMaxUpstreamsPerService) ||
+      in.lost_size() > static_cast<int>(kMaxUpstreamsPerService)) {
     return Malformed("service change has more than " +
                      std::to_string(kMaxUpstreamsPerService) + " upstreams");
   }
@@ -266,7 +272,12 @@
                   address,
                   rules,
                   in.application(),
+                  {},
                   Revision(in.application_revision())};
+    for (const pb::LostUpstream& lost : in.lost()) {
+      out.header.lost.push_back(
+          {InstanceId(lost.instance()), Incarnation(lost.incarnation())});
+    }
   }
   for (const pb::Upstream& upstream : in.upstreams()) {
     BOOST_OUTCOME_TRY(read, FromProto(upstream));
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -250,6 +250,10 @@
       return Respond(CommandOutcome::kUnchanged, revision, {});
     }
     former = found->second.announcement.application;
+    // A new life knows nothing of the flows of the one before.
+    if (announcement.incarnation > found->second.announcement.incarnation) {
+      this->NoteLoss(found->second.announcement);
+    }
     this->by_application[former].erase(announcement.instance);
     if (this->by_application[former].empty()) {
       this->by_application.erase(former);
@@ -285,6 +289,7 @@
                        Number(found->second.announcement.incarnation.Value()));
   }
   const std::string application = found->second.announcement.application;
+  if (leave.lost) this->NoteLoss(found->second.announcement);
   this->Depart(revision, leave.instance);
   this->RefreshView(revision, application);
   this->Record(revision, command,
@@ -336,6 +341,27 @@
   return Respond(CommandOutcome::kApplied, revision, {});
 }
 
+void ControlState::NoteLoss(const Announcement& announcement) {
+  std::vector<LostUpstream>& losses = this->lost[announcement.application];
+  losses.push_back({announcement.instance, announcement.incarnation});
+  // The oldest is nearest to being forgotten.
+  if (losses.size() > kMaxUpstreamsPerService) losses.erase(losses.begin());
+}
+
+CommandResponse ControlState::Execute(Revision revision,
+                                      const Command& /*command*/,
+                                      const ForgetLost& forget) {
+  const LostUpstream wanted{forget.instance, forget.incarnation};
+  for (auto& [application, losses] : this->lost) {
+    if (std::erase(losses, wanted) == 0) continue;
+    const std::string name = application;
+    if (losses.empty()) this->lost.erase(name);
+    this->RefreshView(revision, name);
+    return Respond(CommandOutcome::kApplied, revision, {});
+  }
+  return Respond(CommandOutcome::kUnchanged, revision, {});
+}
+
 void ControlState::Depart(Revision revision, InstanceId instance) {
   const auto found = this->upstreams.find(instance);
   const KnownUpstream& known = found->second;
@@ -372,6 +398,8 @@
   view.name = service.declaration.name;
   view.address = service.declaration.address;
   view.rules = service.declaration.rules;
+  const auto losses = this->lost.find(service.declaration.application);
+  if (losses != this->lost.end()) view.lost = losses->second;
   const auto members =
       this->by_application.find(service.declaration.application);
   if (members != this->by_application.end()) {
@@ -446,6 +474,14 @@
     record->set_draining(known.draining);
     record->set_weight(known.operator_weight);
   }
+  for (const auto& [application, losses] : this->lost) {
+    for (const LostUpstream& loss : losses) {
+      pb::LostRecord* record = out.add_lost();
+      record->set_application(application);
+      record->mutable_upstream()->set_instance(loss.instance.Value());
+      record->mutable_upstream()->set_incarnation(loss.incarnation.Value());
+    }
+  }
   for (const auto& [instance, left] : this->departed) {
     pb::DepartedInstance* record = out.add_departed();
     record->set_instance(instance.Value());
@@ -519,6 +555,11 @@
       out.upstreams[instance] = {std::move(announcement), record.draining(),
                                  record.weight()};
     }
+    for (const pb::LostRecord& record : in.lost()) {
+      out.lost[record.application()].push_back(
+          {InstanceId(record.upstream().instance()),
+           Incarnation(record.upstream().incarnation())});
+    }
     for (const pb::DepartedInstance& record : in.departed()) {
       out.departed[InstanceId(record.instance())] = {
           Incarnation(record.incarnation()), Revision(record.revision()),
--- a/src/control/lease_table.cc
+++ b/src/control/lease_table.cc
@@ -210,11 +210,15 @@
 
 Command LeaseTable::Propose(Millis now, InstanceId instance, Command command) {
   this->proposed[instance] = now;
-  command.request_id = "lease-" + std::to_string(this->term) + "-" +
-                       std::to_string(++this->proposals);
+  command.request_id = this->NextRequestId();
   return command;
 }
 
+std::string LeaseTable::NextRequestId() {
+  return "lease-" + std::to_string(this->term) + "-" +
+         std::to_string(++this->proposals);
+}
+
 std::vector<Command> LeaseTable::OnTick(Millis now, const ControlState& state) {
   std::vector<Command> out;
   this->AdoptFrom(now, state);
@@ -256,16 +260,41 @@
     lease.held = !removable;
     if (out.size() < kMaxProposals && removable &&
         this->MayPropose(now, instance)) {
-      out.push_back(this->Propose(
-          now, instance,
-          {{}, {}, UpstreamLeave{instance, lease.announcement.incarnation}}));
+      out.push_back(
+          this->Propose(now, instance,
+                        {{},
+                         {},
+                         UpstreamLeave{instance, lease.announcement.incarnation,
+                                       !lease.leaving}}));
     }
   }
   std::erase_if(this->groups,
                 [](const auto& entry) { return entry.second.empty(); });
+  this->ForgetLosses(now, state, &out);
   return out;
 }
 
+void LeaseTable::ForgetLosses(Millis now, const ControlState& state,
+                              std::vector<Command>* out) {
+  std::map<std::pair<InstanceId, Incarnation>, Millis> present;
+  for (const auto& [application, losses] : state.Lost()) {
+    for (const LostUpstream& loss : losses) {
+      const std::pair key(loss.instance, loss.incarnation);
+      const auto known = this->losses.find(key);
+      Millis due =
+          known == this->losses.end() ? now + kLossStated : known->second;
+      if (now >= due && out->size() < kMaxProposals) {
+        out->push_back({this->NextRequestId(),
+                        {},
+                        ForgetLost{loss.instance, loss.incarnation}});
+        due = now + kLossStated;
+      }
+      present.emplace(key, due);
+    }
+  }
+  this->losses = std::move(present);
+}
+
 size_t LeaseTable::LiveCount() const {
   return static_cast<size_t>(std::count_if(
       this->leases.begin(), this->leases.end(), [](const auto& entry) {
--- a/src/control/operator_session.cc
+++ b/src/control/operator_session.cc
@@ -281,7 +281,7 @@
 }
 
 std::vector<std::string> ListServiceChanges(const Declaration& before,
-                                          const Declaration& after) {
+                                            const Declaration& after) {
   std::map<std::string, const ServiceDeclaration*> old;
   for (const ServiceDeclaration& service : before.services) {
     old[service.name] = &service;
--- a/src/control/service_store.cc
+++ b/src/control/service_store.cc
@@ -62,12 +62,16 @@
     packer.Add(uint64_t{upstream.weight});
     packer.Add(uint64_t{upstream.draining});
   }
+  for (const LostUpstream& lost : view.lost) {
+    packer.Add(lost.instance.Value());
+    packer.Add(lost.incarnation.Value());
+  }
   return packer.Hash();
 }
 
 bool HeaderEquals(const ServiceView& a, const ServiceView& b) {
   return a.incarnation == b.incarnation && a.name == b.name &&
-         a.address == b.address && a.rules == b.rules;
+         a.address == b.address && a.rules == b.rules && a.lost == b.lost;
 }
 
 }  // namespace
@@ -240,9 +244,10 @@
   change.whole = whole;
   change.has_header = whole || entry.header_revision > from;
   if (change.has_header) {
-    change.header = {entry.header_revision, entry.view.name,
-                     entry.view.address,    entry.view.rules,
-                     entry.application,     entry.application_revision};
+    change.header = {entry.header_revision,     entry.view.name,
+                     entry.view.address,        entry.view.rules,
+                     entry.application,         entry.view.lost,
+                     entry.application_revision};
   }
   for (size_t i = 0; i < entry.view.upstreams.size(); ++i) {
     if (whole || entry.changed[i] > from) {
@@ -324,6 +329,7 @@
     entry->view.name = change.header.name;
     entry->view.address = change.header.address;
     entry->view.rules = change.header.rules;
+    entry->view.lost = change.header.lost;
     entry->application = change.header.application;
     entry->application_revision = change.header.application_revision;
   }
--- a/tests/consensus/replica_test.cc
+++ b/tests/consensus/replica_test.cc
@@ -225,7 +225,8 @@
     return done.has_value() ? ErrorCode() : done.error().code;
   };
   const auto row = [&] {
-    for (const ReplicaMemberStatus& member : replica.Status(cluster.Now()).members) {
+    for (const ReplicaMemberStatus& member :
+         replica.Status(cluster.Now()).members) {
       if (member.member.id == MemberId(4)) return member;
     }
     return ReplicaMemberStatus();
--- a/tests/control/control_codec_test.cc
+++ b/tests/control/control_codec_test.cc
@@ -47,7 +47,8 @@
   change.has_header = true;
   change.header = {Revision(2),      "aula",
                    {0x7f000a01, 80}, SampleDeclaration().services[0].rules,
-                   "aula-app",       Revision(1)};
+                   "aula-app",       {{InstanceId(5), Incarnation(6)}},
+                   Revision(1)};
   change.upstreams = {{{InstanceId(9),
                         Incarnation(4),
                         {0x7f000101, 7000},
--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -225,5 +225,43 @@
   }
 }
 
+// Guards against a view that hides the loss of an upstream: agents that take
+// over its buckets would then run a resent request a second time. A planned
+// leave states no loss.
+Test(control_state, view_states_lost_upstreams_until_they_are_forgotten) {
+  ControlState state;
+  state.Apply(Revision(1), Put("r1", "ana", 0, {Declare("aula", 7001)}));
+  for (uint64_t instance = 1; instance <= 3; ++instance) {
+    state.Apply(Revision(1 + instance),
+                {"j" + std::to_string(instance),
+                 {},
+                 UpstreamJoin{Announce(instance, 5, "aula-app")}});
+  }
+  state.Apply(Revision(5),
+              {"l1", {}, UpstreamLeave{InstanceId(1), Incarnation(5), true}});
+  state.Apply(Revision(6),
+              {"l2", {}, UpstreamLeave{InstanceId(2), Incarnation(5), false}});
+  // A restart within the lease loses what the earlier life knew.
+  state.Apply(Revision(7),
+              {"j4", {}, UpstreamJoin{Announce(3, 6, "aula-app")}});
+  const std::vector<LostUpstream> expected = {{InstanceId(1), Incarnation(5)},
+                                              {InstanceId(3), Incarnation(5)}};
+  cr_assert(state.Store().FindByName("aula")->lost == expected);
+
+  // The loss outlives a snapshot and reaches a process by delta.
+  Result<ControlState> restored = ControlState::Restore(state.Snapshot());
+  cr_assert(restored.has_value());
+  cr_assert(restored.value().Store().FindByName("aula")->lost == expected);
+  const Subscription all{true, {}, {}};
+  ServiceStore daemon;
+  cr_assert(daemon.Apply(state.Store().Whole(all), all).has_value());
+  state.Apply(Revision(8),
+              {"f1", {}, ForgetLost{InstanceId(1), Incarnation(5)}});
+  cr_assert(daemon.Apply(state.Store().UpdateSince(Revision(7), all), all)
+                .has_value());
+  const std::vector<LostUpstream> left = {{InstanceId(3), Incarnation(5)}};
+  cr_assert(daemon.FindByName("aula")->lost == left);
+}
+
 }  // namespace
 }  // namespace cornelhill
