State losses in the reference model of the control state too

With the loss of a leave ignored, equals_a_single_copy and view_states_lost_upstreams_until_they_are_forgotten fail.

--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -74,8 +74,14 @@
     }
     case 3:
       command.operator_name = "";
+      if (random->Chance(0.3)) {
+        command.body =
+            ForgetLost{InstanceId(instance), Incarnation(random->Below(20))};
+        break;
+      }
       command.body =
-          UpstreamLeave{InstanceId(instance), Incarnation(random->Below(20))};
+          UpstreamLeave{InstanceId(instance), Incarnation(random->Below(20)),
+                        random->Chance(0.5)};
       break;
     default:
       if (random->Chance(0.5)) {
--- a/tests/naive/single_copy_control.h
+++ b/tests/naive/single_copy_control.h
@@ -35,6 +35,8 @@
       response.outcome = this->Join(join->announcement);
     } else if (const auto* leave = std::get_if<UpstreamLeave>(&command.body)) {
       response.outcome = this->Leave(*leave);
+    } else if (const auto* forget = std::get_if<ForgetLost>(&command.body)) {
+      response.outcome = this->Forget(*forget);
     } else if (const auto* drain = std::get_if<UpstreamDrain>(&command.body)) {
       response.outcome = this->Change(drain->instance, [drain](Agent* agent) {
         return std::exchange(agent->draining, drain->draining) !=
@@ -104,6 +106,9 @@
     if (agent.present && agent.announcement == announcement) {
       return CommandOutcome::kUnchanged;
     }
+    if (agent.present && announcement.incarnation > last) {
+      this->Lose(agent.announcement);
+    }
     agent.announcement = announcement;
     agent.present = true;
     return CommandOutcome::kApplied;
@@ -115,10 +120,25 @@
     if (leave.incarnation < agent.announcement.incarnation) {
       return CommandOutcome::kStaleIncarnation;
     }
+    if (leave.lost) this->Lose(agent.announcement);
     agent.present = false;
     return CommandOutcome::kApplied;
   }
 
+  void Lose(const Announcement& announcement) {
+    this->lost[announcement.application].push_back(
+        {announcement.instance, announcement.incarnation});
+  }
+
+  CommandOutcome Forget(const ForgetLost& forget) {
+    size_t erased = 0;
+    for (auto& [application, losses] : this->lost) {
+      erased +=
+          std::erase(losses, LostUpstream{forget.instance, forget.incarnation});
+    }
+    return erased > 0 ? CommandOutcome::kApplied : CommandOutcome::kUnchanged;
+  }
+
   template <typename Function>
   CommandOutcome Change(InstanceId instance, Function change) {
     Agent& agent = this->agents[instance];
@@ -136,6 +156,7 @@
       view.name = service.name;
       view.address = service.address;
       view.rules = service.rules;
+      view.lost = this->lost[service.application];
       for (const auto& [instance, agent] : this->agents) {
         const Announcement& said = agent.announcement;
         if (!agent.present || said.application != service.application) continue;
@@ -164,6 +185,7 @@
   uint32_t next_id = 0;
   uint64_t next_incarnation = 0;
   std::map<InstanceId, Agent> agents;
+  std::map<std::string, std::vector<LostUpstream>> lost;
   std::map<std::string, ServiceView> views;
 };
 
