--- a/tests/turn/turn_property_test.cc
+++ b/tests/turn/turn_property_test.cc
@@ -205,6 +205,37 @@
   }
 }
 
+// Guards against head-of-line blocking: short work whose wait behind long work
+// is not at least 10 times shorter than under first come first served.
+Test(turn_property, short_work_does_not_wait_like_naive) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Random random(seed);
+    TurnConfig config;
+    config.slots = 4;
+    config.reserved_slots = 1;
+    std::vector<Job> jobs;
+    for (uint32_t caller = 1; caller <= 10; ++caller) {
+      Offer(jobs, random, caller, 20, 0.04, Millis(60'000), WorkClass::kShort);
+      Offer(jobs, random, 100 + caller, 2000, 0.48, Millis(60'000),
+            WorkClass::kLong);
+    }
+    SortByArrival(jobs);
+    TurnLoop<TurnScheduler> product(One(config));
+    TurnLoop<naive::FcfsQueue> naive({naive::FcfsQueue(config)});
+    const std::vector<JobResult> results[2] = {product.Run(jobs),
+                                               naive.Run(jobs)};
+    std::vector<int64_t> waits[2];
+    for (size_t i = 0; i < jobs.size(); ++i) {
+      if (jobs[i].request.hint != WorkClass::kShort) continue;
+      for (const size_t who : {0, 1}) {
+        waits[who].push_back(results[who][i].wait.Count());
+      }
+    }
+    cr_assert_leq(Percentile(waits[0], 990) * 10, Percentile(waits[1], 990),
+                  "seed %lu", seed);
+  }
+}
+
 // Guards against a difference from first come first served where fairness has
 // nothing to decide: one caller with short work.
 Test(turn_property, one_caller_is_served_like_naive) {
--- a/tests/turn/turn_scheduler_test.cc
+++ b/tests/turn/turn_scheduler_test.cc
@@ -69,6 +69,50 @@
   cr_assert(served >= 58 && served <= 62, "weight 3 of 4 got %d of 80", served);
 }
 
+// Guards against shares by number of requests: a caller whose requests take 5
+// times as long gets the same slot time, not 5 times as much.
+Test(turn_scheduler, measured_slot_time_is_shared) {
+  TurnScheduler scheduler(ConfigOf(1, 0));
+  for (uint32_t i = 0; i < 200; ++i) {
+    scheduler.Enqueue(Millis(0), Hinted(1, i, WorkClass::kShort));
+    scheduler.Enqueue(Millis(0), Hinted(2, i, WorkClass::kShort));
+  }
+  int64_t used[2] = {};
+  for (Millis now; now < Millis(2500);) {
+    const auto key = scheduler.StartNext(now);
+    const bool slow = key->flow.caller.address == 0x7f000001;
+    const Millis service(slow ? 50 : 10);
+    used[slow] += service.Count();
+    now += service;
+    scheduler.Finish(now, *key);
+  }
+  cr_assert(used[0] * 10 >= used[1] * 8 && used[1] * 10 >= used[0] * 8,
+            "%ld and %ld", used[0], used[1]);
+}
+
+// Guards against a caller that is put back for work it did while no other
+// caller waited.
+Test(turn_scheduler, idle_queue_forgives_use) {
+  TurnScheduler scheduler(ConfigOf(1, 0));
+  Millis now;
+  for (uint32_t i = 0; i < 20; ++i) {
+    Teach(scheduler, &now, RequestOf(1, i), Millis(80));
+  }
+  scheduler.Enqueue(now, RequestOf(1, 20));
+  scheduler.Enqueue(now, RequestOf(2, 0));
+  cr_assert(scheduler.StartNext(now) == RequestOf(1, 20).key);
+}
+
+// Guards against long work that starts in the last slot it may hold while a
+// request that started as short has outrun its quantum in another one.
+Test(turn_scheduler, overdue_work_counts_as_long_at_once) {
+  TurnScheduler scheduler(ConfigOf(2, 1));
+  scheduler.Enqueue(Millis(0), Hinted(1, 0, WorkClass::kShort));
+  scheduler.StartNext(Millis(0));
+  scheduler.Enqueue(Millis(150), Hinted(2, 0, WorkClass::kLong));
+  cr_assert(!scheduler.StartNext(Millis(150)).has_value());
+}
+
 // Guards against work that stays short however long it runs, and against a
 // class that is forgotten by the next request of the flow or caller.
 Test(turn_scheduler, class_is_learned_and_earned_back) {
@@ -213,6 +257,17 @@
   cr_assert_eq(scheduler.QueuedCount(), 0);
 }
 
+// Guards against shedding by an overload that ended when the queue ran empty.
+Test(turn_scheduler, empty_queue_ends_overload) {
+  TurnScheduler scheduler(ConfigOf(1, 0));
+  scheduler.Enqueue(Millis(0), Hinted(1, 0, WorkClass::kShort));
+  cr_assert(scheduler.Shed(Millis(300)).empty());
+  scheduler.StartNext(Millis(300));
+  cr_assert(scheduler.Shed(Millis(400)).empty());
+  scheduler.Enqueue(Millis(1000), Hinted(2, 0, WorkClass::kShort));
+  cr_assert(scheduler.Shed(Millis(1260)).empty());
+}
+
 // Guards against shedding a new caller's work by the short target while it
 // waits for a slot of long work: it was shed each time and its caller never got
 // a history.
