--- a/src/ctl/change.cc
+++ b/src/ctl/change.cc
@@ -7,6 +7,9 @@
 #include "cornelhill/config/declaration_json.h"
 #include "cornelhill/ctl/network.h"
 
+ABSL_FLAG(int64_t, base, -1,
+          "Revision of the declaration that the change was made from (default: "
+          "the one in effect).");
 ABSL_FLAG(bool, wait, false,
           "Wait until the change is in effect at every process that reports.");
 
@@ -20,6 +23,14 @@
   return Ask(request);
 }
 
+// The same change sent again must name the same base, or it is another change.
+Result<Revision> BaseRevision() {
+  const int64_t base = absl::GetFlag(FLAGS_base);
+  if (base >= 0) return Revision(static_cast<uint64_t>(base));
+  BOOST_OUTCOME_TRY(present, AskForDeclaration());
+  return present.declaration_revision;
+}
+
 ExitCode RunPlan(Invocation& invocation) {
   const auto wanted = LoadDeclaration(invocation.arguments[0]);
   if (!wanted.has_value()) return ReportError(invocation, wanted.error());
@@ -35,10 +46,10 @@
 ExitCode RunApply(Invocation& invocation) {
   const auto wanted = LoadDeclaration(invocation.arguments[0]);
   if (!wanted.has_value()) return ReportError(invocation, wanted.error());
-  const auto present = AskForDeclaration();
-  if (!present.has_value()) return ReportError(invocation, present.error());
+  const Result<Revision> base = BaseRevision();
+  if (!base.has_value()) return ReportError(invocation, base.error());
   OperatorRequest request = MakeRequest(OperatorRequestKind::kApply);
-  request.base = present.value().declaration_revision;
+  request.base = base.value();
   request.declaration = wanted.value();
   const auto response = Ask(request);
   const ExitCode code = ReportChange(invocation, request, response);
@@ -82,7 +93,7 @@
      .arguments = "DECLARATION",
      .min_arguments = 1,
      .max_arguments = 1,
-     .flags = NetworkFlagsAnd({"wait"}),
+     .flags = NetworkFlagsAnd({"base", "wait"}),
      .details = "The change is based on the declaration in effect when the "
                 "call starts. Where another\nchange comes first, this one is "
                 "refused and the other is named.",
--- a/src/ctl/network.cc
+++ b/src/ctl/network.cc
@@ -103,7 +103,11 @@
     if (code == ExitCode::kUnavailable) {
       invocation.err << "cornelhillctl: the change may be in effect; repeat "
                         "the call with --request_id="
-                     << request.request_id << " to learn what became of it\n";
+                     << request.request_id;
+      if (request.kind == OperatorRequestKind::kApply) {
+        invocation.err << " --base=" << request.base.Value();
+      }
+      invocation.err << " to learn what became of it\n";
     }
     return code;
   }
