--- a/include/cornelhill/agent/agent.h
+++ b/include/cornelhill/agent/agent.h
@@ -132,6 +132,9 @@
               const Refusal& refusal, std::string original, AgentOutput* out);
   void EndRequest(Millis now, const FlowKey& key, Flow& flow, Reason reason,
                   Millis retry_after, AgentOutput* out);
+  // Ends a request whose caller has aborted the flow: nobody waits for a
+  // refusal, and the upstream has had the reset.
+  void AbandonRequest(Millis now, const FlowKey& key, Flow& flow);
   void CancelAtUpstream(const FlowKey& key, const Flow& flow, AgentOutput* out);
   void FinishRequest(Millis now, const FlowKey& key, Flow& flow);
   void StartDueRequests(Millis now, AgentOutput* out);
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -140,7 +140,11 @@
   flow.last_active = now;
   if (forward.hops > 0) this->SendHint(key, flow, out);
   if (forward.packet.reset) {
-    this->PassToUpstream(now, flow, std::move(forward), out);
+    // An upstream that has seen nothing of the flow needs no reset.
+    if (flow.state != FlowState::kQueued) {
+      this->PassToUpstream(now, flow, std::move(forward), out);
+    }
+    this->AbandonRequest(now, key, flow);
     this->CloseFlow(now, key, out);
     return;
   }
--- a/src/agent/agent_requests.cc
+++ b/src/agent/agent_requests.cc
@@ -141,6 +141,19 @@
   flow.buffer.reset();
 }
 
+void Agent::AbandonRequest(Millis now, const FlowKey& key, Flow& flow) {
+  if (flow.state == FlowState::kIdle) return;
+  const RequestKey request{key, flow.nonce, flow.request};
+  const bool queued = this->scheduler.Cancel(now, request);
+  const bool untouched = queued && !BufferOf(flow).was_started;
+  const Refusal refusal{untouched ? Verdict::kNotRun : Verdict::kMayHaveRun,
+                        Reason::kCancelled, Millis()};
+  this->finished.Add(now, request,
+                     FinishedRequest{Outcome::kRefused, refusal, {}, false});
+  flow.state = FlowState::kIdle;
+  flow.buffer.reset();
+}
+
 void Agent::CancelAtUpstream(const FlowKey& key, const Flow& flow,
                              AgentOutput* out) {
   PacketInfo packet;
