--- a/include/cornelhill/base/log.h
+++ b/include/cornelhill/base/log.h
@@ -25,7 +25,8 @@
 
   template <std::integral T>
   LogLine& Add(std::string_view key, T value) {
-    return this->Add(key, std::string_view(std::to_string(value)));
+    const std::string text_value = std::to_string(value);
+    return this->Add(key, std::string_view{text_value});
   }
 
   // Marks the line as a warning or an error.
--- a/src/daemon/operator_client.cc
+++ b/src/daemon/operator_client.cc
@@ -31,10 +31,10 @@
 
 OperatorClient::OperatorClient(std::vector<Endpoint> control)
     : control(std::move(control)),
-      node(NewRequestId(),
-           {nullptr, [this](const std::string& member, std::string bytes) {
-              this->OnMessage(member, bytes);
-            }}) {}
+      node(NewRequestId(), {nullptr, [this](const std::string& member,
+                                            const std::string& bytes) {
+                              this->OnMessage(member, bytes);
+                            }}) {}
 
 Result<void> OperatorClient::Start() {
   for (const Endpoint& address : this->control) {
@@ -89,7 +89,8 @@
   }
   std::string detail;
   for (const auto& [address, said] : last_said) {
-    detail += (detail.empty() ? "" : "; ") + address + " " + said;
+    detail += detail.empty() ? "" : "; ";
+    detail.append(address).append(" ").append(said);
   }
   return Error{ErrorCode::kUnavailable, "no control instance answered within " +
                                             std::to_string(timeout.Count()) +
--- a/tests/daemon/tcp_path_test.cc
+++ b/tests/daemon/tcp_path_test.cc
@@ -101,7 +101,8 @@
     forward.balancer = BalancerAddress(balancer);
     forward.target = decision->target;
     forward.payload = packet.payload;
-    this->Send(forward.balancer, {decision->agent, std::move(forward)});
+    const Endpoint from = forward.balancer;
+    this->Send(from, {decision->agent, std::move(forward)});
   }
 
   // A packet from the upstream beside an agent.
