control: Number digests from a random start in each life

Cause: digests of every life were numbered from 1, so a late reply to an earlier life matched a digest of the present one, and the age of its confirmation counted from too late an instant. A restarted process could so take a state that was confirmed before its start. Found by review; the added test reply_to_an_earlier_life_is_not_taken fails with numbers from 1 (trial).

A separate life number in each digest was ruled out: it costs as many bytes.

--- a/include/cornelhill/control/spread_node.h
+++ b/include/cornelhill/control/spread_node.h
@@ -67,7 +67,8 @@
 // Not thread-safe. Time must not go back between calls.
 class SpreadNode {
  public:
-  // `subscription` is what this process itself needs.
+  // `subscription` is what this process itself needs. `seed` differs between
+  // lives of a process.
   SpreadNode(Millis now, const SpreadMember& self,
              const Subscription& subscription, uint64_t seed);
 
--- a/src/control/spread_node.cc
+++ b/src/control/spread_node.cc
@@ -29,6 +29,10 @@
       started(now),
       parent_heard(now) {
   this->RefreshWanted();
+  // A reply to a digest of an earlier life must not match one of this life: the
+  // age of its confirmation would count from too late an instant.
+  constexpr int kNumberShift = 16;
+  this->digest_number = this->random.Next() >> kNumberShift;
   // Spreads the digests of processes that start together.
   this->next_digest =
       now + Millis(static_cast<int64_t>(this->random.Below(
--- a/tests/control/spread_node_test.cc
+++ b/tests/control/spread_node_test.cc
@@ -205,6 +205,35 @@
   cr_assert(node.Counters().lower_term > 0);
 }
 
+// Guards against a reply to a digest of an earlier life that a restarted
+// process takes for one to its own: it was confirmed before the restart, so
+// that what it states may be below what the earlier life had in effect.
+Test(spread_node, reply_to_an_earlier_life_is_not_taken) {
+  const Subscription all{true, {}, {}};
+  ControlState state;
+  state.Apply(Revision(1),
+              {"1", "ana", PutDeclaration{{}, fake::SampleDeclaration(0)}});
+  const SpreadMember parent{InstanceId(1), {0x7f000001, 1}, 0, {}, true};
+  const SpreadMember self{InstanceId(9), {0x7f000001, 9}, 0, {}, false};
+  SpreadNode root(Millis(0), parent, all, 1);
+  SpreadNode earlier(Millis(0), self, all, 2);
+  earlier.SetMembers(Millis(0), {parent});
+  Millis now(1000);
+  (void)root.Publish(now, 1, state.Store(), now);
+  const std::vector<Outgoing> digest = earlier.OnTick(now);
+  const std::vector<Outgoing> late =
+      root.OnMessage(now, self.endpoint, digest.at(0).message);
+  cr_assert(std::get<SpreadUpdate>(late.at(0).message).status ==
+            SpreadStatus::kOk);
+
+  SpreadNode restarted(now + Millis(100), self, all, 3);
+  restarted.SetMembers(now + Millis(100), {parent});
+  now += Millis(500);
+  cr_assert_eq(restarted.OnTick(now).size(), 1);
+  (void)restarted.OnMessage(now, parent.endpoint, late.at(0).message);
+  cr_assert(!restarted.HasEffect());
+}
+
 // Guards against a process that has in effect what its parent does not: an
 // update that leads to another hash changes nothing and is followed by a
 // request for the whole.
