--- a/tests/consensus/random_faults_test.cc
+++ b/tests/consensus/random_faults_test.cc
@@ -38,6 +38,7 @@
   uint64_t acknowledged = 0;
   uint64_t confirmed = 0;
   uint64_t repairs = 0;
+  uint64_t restored = 0;
   for (uint64_t seed = first_seed; seed < first_seed + SeedCount(count);
        ++seed) {
     TestCluster cluster(seed, voters);
@@ -48,14 +49,16 @@
     acknowledged += cluster.acknowledged;
     confirmed += cluster.confirmed.size();
     repairs += cluster.repairs;
+    restored += cluster.restored;
   }
   // Guards against a run that proves nothing because nothing happened.
-  cr_assert(acknowledged > 10 && confirmed > 10);
+  cr_assert(acknowledged > 10 && confirmed > 10 && restored > 0);
   if (rates.lose_disk > 0) cr_assert(repairs > 0);
-  cr_log_info("acknowledged=%lu confirmed=%lu repairs=%lu",
+  cr_log_info("acknowledged=%lu confirmed=%lu repairs=%lu restored=%lu",
               static_cast<unsigned long>(acknowledged),
               static_cast<unsigned long>(confirmed),
-              static_cast<unsigned long>(repairs));
+              static_cast<unsigned long>(repairs),
+              static_cast<unsigned long>(restored));
 }
 
 // Each test below guards against two leaders in a term, changed committed
--- a/tests/consensus/test_cluster.cc
+++ b/tests/consensus/test_cluster.cc
@@ -215,6 +215,7 @@
     node->persisting.emplace_back(done, std::move(*output.persist));
   }
   if (output.restore) {
+    ++this->restored;
     node->applied = output.restore->meta.index;
     node->registers = Deserialize(output.restore->data);
     if (node->applied >= this->committed.size() ||
--- a/tests/consensus/test_cluster.h
+++ b/tests/consensus/test_cluster.h
@@ -91,6 +91,7 @@
   bool repair = true;
   uint64_t acknowledged = 0;
   uint64_t repairs = 0;
+  uint64_t restored = 0;  // Snapshots received.
   std::set<ReadId> confirmed;
   std::set<ReadId> failed;
 
