--- a/src/config/schema_checker.cc
+++ b/src/config/schema_checker.cc
@@ -269,6 +269,8 @@
     this->root = Json{{"definitions", this->root["definitions"]},
                       {"$ref", "#/definitions/" + definition}};
   }
+  this->top = this->Resolve(this->root);
+  this->top.erase("definitions");
   valijson::SchemaParser parser(valijson::SchemaParser::kDraft7);
   parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(this->root),
                         *this->compiled);
@@ -288,7 +290,7 @@
 }
 
 Json SchemaChecker::FieldSchema(const FieldPath& path) const {
-  Json node = this->Resolve(this->root);
+  Json node = this->top;
   for (const std::string& step : path) {
     if (node.contains("items")) {
       node = this->Resolve(node["items"]);
@@ -351,8 +353,7 @@
 Result<void> SchemaChecker::Check(const Json& document,
                                   const std::string& file) const {
   FieldPath path;
-  BOOST_OUTCOME_TRY(this->CheckNode(this->Resolve(this->root), document,
-                                    document, path, file));
+  BOOST_OUTCOME_TRY(this->CheckNode(this->top, document, document, path, file));
 
   valijson::Validator validator;
   valijson::ValidationResults results;
--- a/src/config/schema_checker.h
+++ b/src/config/schema_checker.h
@@ -66,6 +66,7 @@
                          const std::string& file) const;
 
   Json root;
+  Json top;  // The root with references resolved, without "definitions".
   std::unique_ptr<valijson::Schema> compiled;
 };
 
