--- a/include/cornelhill/control/control_state.h
+++ b/include/cornelhill/control/control_state.h
@@ -81,6 +81,11 @@
     return this->declaration_change;
   }
 
+  // Losses that are still stated in views, by application.
+  const std::map<std::string, std::vector<LostUpstream>>& Lost() const {
+    return this->lost;
+  }
+
   const std::map<InstanceId, KnownUpstream>& Upstreams() const {
     return this->upstreams;
   }
@@ -88,7 +93,9 @@
   // Last incarnation of an instance, present or departed; 0 where unknown.
   Incarnation LastIncarnation(InstanceId instance) const;
 
-  // Returns the last changes, the latest first; at most `kMaxHistory` are kept.
+  // Returns the last changes, the latest first. At most `kMaxHistory` are kept:
+  // half of operators and half of the lease table, so that a restart of many
+  // agents does not push out what operators did.
   std::vector<HistoryEntry> History(size_t limit) const;
 
   // Returns the kept response of a request, or nothing.
@@ -125,6 +132,8 @@
                           const UpstreamJoin& join);
   CommandResponse Execute(Revision revision, const Command& command,
                           const UpstreamLeave& leave);
+  CommandResponse Execute(Revision revision, const Command& command,
+                          const ForgetLost& forget);
   CommandResponse Execute(Revision revision, const Command& command,
                           const UpstreamDrain& drain);
   CommandResponse Execute(Revision revision, const Command& command,
@@ -133,13 +142,17 @@
   void RefreshView(Revision revision, const std::string& application);
   void RefreshView(Revision revision, const Service& service);
   void Record(Revision revision, const Command& command, std::string summary);
+  void Remember(HistoryEntry entry);
   void Depart(Revision revision, InstanceId instance);
+  void NoteLoss(const Announcement& announcement);
   ResponseRing& RingFor(const Command& command);
 
   ServiceStore store;
   std::map<std::string, Service> services;  // By name.
   std::map<InstanceId, KnownUpstream> upstreams;
   std::map<std::string, std::set<InstanceId>> by_application;
+  // Losses that are still stated in views, by application.
+  std::map<std::string, std::vector<LostUpstream>> lost;
   std::map<InstanceId, Departed> departed;
   std::set<std::pair<Revision, InstanceId>> departed_order;
   ServiceId last_service_id;
@@ -147,7 +160,8 @@
   ChangeRef declaration_change;
   ResponseRing operator_responses;
   ResponseRing membership_responses;
-  std::deque<HistoryEntry> history;  // The oldest first.
+  std::deque<HistoryEntry> operator_history;    // The oldest first.
+  std::deque<HistoryEntry> membership_history;  // The oldest first.
 };
 
 }  // namespace cornelhill
--- a/src/control/control_codec.cc
+++ b/src/control/control_codec.cc
@@ -39,6 +39,14 @@
   return boost::outcome_v2::success();
 }
 
+Result<Millis> SpanFrom(uint64_t count, const char* what) {
+  constexpr uint64_t kMaxSpanMs = uint64_t{1} << 40;
+  if (count > kMaxSpanMs) {
+    return Malformed(std::string(what) + " is out of range");
+  }
+  return Millis(static_cast<int64_t>(count));
+}
+
 // Parses `bytes` into `message` and checks size and version.
 template <typename Message>
 Result<void> Parse(std::string_view bytes, size_t limit, Message* message) {
@@ -63,11 +71,12 @@
   out->set_instance(in.instance.Value());
   out->set_incarnation(in.incarnation.Value());
   out->set_sequence(in.sequence);
+  out->set_leaving(in.leaving);
 }
 
 Result<Renewal> FromProto(const pb::Renewal& in) {
   return Renewal{InstanceId(in.instance()), Incarnation(in.incarnation()),
-                 in.sequence()};
+                 in.sequence(), in.leaving()};
 }
 
 void ToProto(const RenewalAck& in, pb::RenewalAck* out) {
@@ -75,6 +84,7 @@
   out->set_incarnation(in.incarnation.Value());
   out->set_sequence(in.sequence);
   out->set_status(static_cast<uint32_t>(in.status));
+  out->set_known(in.known.Value());
 }
 
 Result<RenewalAck> FromProto(const pb::RenewalAck& in) {
@@ -82,7 +92,7 @@
                     EnumFrom<RenewalStatus>(in.status(), kRenewalStatusCount,
                                             "renewal status"));
   return RenewalAck{InstanceId(in.instance()), Incarnation(in.incarnation()),
-                    in.sequence(), status};
+                    in.sequence(), status, Incarnation(in.known())};
 }
 
 void ToProto(const DomainSummary& in, pb::DomainSummary* out) {
@@ -144,6 +154,7 @@
     pb::RefusedLease* refused = out->add_refused();
     refused->set_instance(lease.instance.Value());
     refused->set_incarnation(lease.incarnation.Value());
+    refused->set_known(lease.known.Value());
   }
 }
 
@@ -158,8 +169,9 @@
   out.roster_version = in.roster_version();
   out.term = in.term();
   for (const pb::RefusedLease& lease : in.refused()) {
-    out.refused.push_back(
-        {InstanceId(lease.instance()), Incarnation(lease.incarnation())});
+    out.refused.push_back({InstanceId(lease.instance()),
+                           Incarnation(lease.incarnation()),
+                           Incarnation(lease.known())});
   }
   return out;
 }
@@ -238,6 +250,8 @@
     ToProto(in.subscription, out->mutable_subscription());
   }
   ToProto(in.report, out->mutable_report());
+  out->set_want_whole(in.want_whole);
+  out->set_uptime_ms(static_cast<uint64_t>(in.uptime.Count()));
 }
 
 Result<SpreadDigest> FromProto(const pb::SpreadDigest& in) {
@@ -255,6 +269,9 @@
   }
   BOOST_OUTCOME_TRY(report, FromProto(in.report()));
   out.report = std::move(report);
+  out.want_whole = in.want_whole();
+  BOOST_OUTCOME_TRY(uptime, SpanFrom(in.uptime_ms(), "uptime"));
+  out.uptime = uptime;
   return out;
 }
 
@@ -275,21 +292,19 @@
 }
 
 Result<SpreadUpdate> FromProto(const pb::SpreadUpdate& in) {
-  constexpr uint64_t kMaxAgeMs = uint64_t{1} << 40;
   BOOST_OUTCOME_TRY(status,
                     EnumFrom<SpreadStatus>(in.status(), kSpreadStatusCount,
                                            "status of a distribution update"));
   BOOST_OUTCOME_TRY(
       CheckCount(in.services_size(), kMaxServices, "service changes"));
-  if (in.confirmed_age_ms() > kMaxAgeMs) {
-    return Malformed("age of a confirmation is out of range");
-  }
+  BOOST_OUTCOME_TRY(age,
+                    SpanFrom(in.confirmed_age_ms(), "age of a confirmation"));
   SpreadUpdate out;
   out.sender = InstanceId(in.sender());
   out.number = in.number();
   out.status = status;
   out.term = in.term();
-  out.confirmed_age = Millis(static_cast<int64_t>(in.confirmed_age_ms()));
+  out.confirmed_age = age;
   out.subscription_hash = in.subscription_hash();
   out.update.from = Revision(in.from_revision());
   out.update.revision = Revision(in.revision());
@@ -474,7 +489,13 @@
           {},
           {},
           UpstreamLeave{InstanceId(in.upstream_leave().instance()),
-                        Incarnation(in.upstream_leave().incarnation())}};
+                        Incarnation(in.upstream_leave().incarnation()),
+                        in.upstream_leave().lost()}};
+    case pb::Command::kForgetLost:
+      return Command{{},
+                     {},
+                     ForgetLost{InstanceId(in.forget_lost().instance()),
+                                Incarnation(in.forget_lost().incarnation())}};
     case pb::Command::kUpstreamDrain:
       return Command{{},
                      {},
@@ -515,6 +536,12 @@
             out.mutable_upstream_leave()->set_instance(body.instance.Value());
             out.mutable_upstream_leave()->set_incarnation(
                 body.incarnation.Value());
+            out.mutable_upstream_leave()->set_lost(body.lost);
+          },
+          [&out](const ForgetLost& body) {
+            out.mutable_forget_lost()->set_instance(body.instance.Value());
+            out.mutable_forget_lost()->set_incarnation(
+                body.incarnation.Value());
           },
           [&out](const UpstreamDrain& body) {
             out.mutable_upstream_drain()->set_instance(body.instance.Value());
@@ -531,37 +558,50 @@
 std::string Encode(const ControlMessage& message) {
   pb::ControlMessage out;
   out.set_version(kProtocolVersion);
-  std::visit(Overloaded{[&out](const Announcement& body) {
-                          ToProto(body, out.mutable_announcement());
-                        },
-                        [&out](const Renewal& body) {
-                          ToProto(body, out.mutable_renewal());
-                        },
-                        [&out](const RenewalAck& body) {
-                          ToProto(body, out.mutable_renewal_ack());
-                        },
-                        [&out](const DomainSummary& body) {
-                          ToProto(body, out.mutable_domain_summary());
-                        },
-                        [&out](const SummaryAck& body) {
-                          ToProto(body, out.mutable_summary_ack());
-                        },
-                        [&out](const LossReport& body) {
-                          ToProto(body, out.mutable_loss_report());
-                        },
-                        [&out](const SpreadDigest& body) {
-                          ToProto(body, out.mutable_spread_digest());
-                        },
-                        [&out](const SpreadUpdate& body) {
-                          ToProto(body, out.mutable_spread_update());
-                        },
-                        [&out](const OperatorRequest& body) {
-                          ToProto(body, out.mutable_operator_request());
-                        },
-                        [&out](const OperatorResponse& body) {
-                          ToProto(body, out.mutable_operator_response());
-                        }},
-             message);
+  std::visit(
+      Overloaded{
+          [&out](const Announcement& body) {
+            ToProto(body, out.mutable_announcement());
+          },
+          [&out](const Renewal& body) { ToProto(body, out.mutable_renewal()); },
+          [&out](const RenewalAck& body) {
+            ToProto(body, out.mutable_renewal_ack());
+          },
+          [&out](const DomainSummary& body) {
+            ToProto(body, out.mutable_domain_summary());
+          },
+          [&out](const SummaryAck& body) {
+            ToProto(body, out.mutable_summary_ack());
+          },
+          [&out](const LossReport& body) {
+            ToProto(body, out.mutable_loss_report());
+          },
+          [&out](const SpreadDigest& body) {
+            ToProto(body, out.mutable_spread_digest());
+          },
+          [&out](const SpreadUpdate& body) {
+            ToProto(body, out.mutable_spread_update());
+          },
+          [&out](const OperatorRequest& body) {
+            ToProto(body, out.mutable_operator_request());
+          },
+          [&out](const OperatorResponse& body) {
+            ToProto(body, out.mutable_operator_response());
+          },
+          [&out](const ConsensusPacket& body) {
+            out.mutable_consensus_packet()->set_message(body.message);
+          },
+          [&out](const JoinRequest& body) {
+            pb::JoinRequest* join = out.mutable_join_request();
+            join->set_name(body.name);
+            ToProto(body.endpoint, join->mutable_endpoint());
+            join->set_token(body.token);
+          },
+          [&out](const JoinReply& body) {
+            out.mutable_join_reply()->set_token(body.token);
+            out.mutable_join_reply()->set_member(body.member);
+          }},
+      message);
   return out.SerializeAsString();
 }
 
@@ -602,6 +642,18 @@
       return Read(in.operator_request());
     case pb::ControlMessage::kOperatorResponse:
       return Read(in.operator_response());
+    case pb::ControlMessage::kConsensusPacket:
+      return ControlMessage(ConsensusPacket{in.consensus_packet().message()});
+    case pb::ControlMessage::kJoinRequest: {
+      BOOST_OUTCOME_TRY(
+          CheckText(in.join_request().name(), kMaxNameBytes, "member name"));
+      BOOST_OUTCOME_TRY(endpoint, FromProto(in.join_request().endpoint()));
+      return ControlMessage(JoinRequest{in.join_request().name(), endpoint,
+                                        in.join_request().token()});
+    }
+    case pb::ControlMessage::kJoinReply:
+      return ControlMessage(
+          JoinReply{in.join_reply().token(), in.join_reply().member()});
     case pb::ControlMessage::BODY_NOT_SET:
       break;
   }
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -249,6 +250,10 @@
       return Respond(CommandOutcome::kUnchanged, revision, {});
     }
     former = found->second.announcement.application;
+    // A new life knows nothing of the flows of the one before.
+    if (announcement.incarnation > found->second.announcement.incarnation) {
+      this->NoteLoss(found->second.announcement);
+    }
     this->by_application[former].erase(announcement.instance);
     if (this->by_application[former].empty()) {
       this->by_application.erase(former);
@@ -284,6 +289,7 @@
                        Number(found->second.announcement.incarnation.Value()));
   }
   const std::string application = found->second.announcement.application;
+  if (leave.lost) this->NoteLoss(found->second.announcement);
   this->Depart(revision, leave.instance);
   this->RefreshView(revision, application);
   this->Record(revision, command,
@@ -335,6 +341,27 @@
   return Respond(CommandOutcome::kApplied, revision, {});
 }
 
+void ControlState::NoteLoss(const Announcement& announcement) {
+  std::vector<LostUpstream>& losses = this->lost[announcement.application];
+  losses.push_back({announcement.instance, announcement.incarnation});
+  // The oldest is nearest to being forgotten.
+  if (losses.size() > kMaxUpstreamsPerService) losses.erase(losses.begin());
+}
+
+CommandResponse ControlState::Execute(Revision revision,
+                                      const Command& /*command*/,
+                                      const ForgetLost& forget) {
+  const LostUpstream wanted{forget.instance, forget.incarnation};
+  for (auto& [application, losses] : this->lost) {
+    if (std::erase(losses, wanted) == 0) continue;
+    const std::string name = application;
+    if (losses.empty()) this->lost.erase(name);
+    this->RefreshView(revision, name);
+    return Respond(CommandOutcome::kApplied, revision, {});
+  }
+  return Respond(CommandOutcome::kUnchanged, revision, {});
+}
+
 void ControlState::Depart(Revision revision, InstanceId instance) {
   const auto found = this->upstreams.find(instance);
   const KnownUpstream& known = found->second;
@@ -371,6 +398,8 @@
   view.name = service.declaration.name;
   view.address = service.declaration.address;
   view.rules = service.declaration.rules;
+  const auto losses = this->lost.find(service.declaration.application);
+  if (losses != this->lost.end()) view.lost = losses->second;
   const auto members =
       this->by_application.find(service.declaration.application);
   if (members != this->by_application.end()) {
@@ -383,10 +412,16 @@
 
 void ControlState::Record(Revision revision, const Command& command,
                           std::string summary) {
-  this->history.push_back(
-      {{revision, command.operator_name, command.request_id},
-       std::move(summary)});
-  if (this->history.size() > kMaxHistory) this->history.pop_front();
+  this->Remember({{revision, command.operator_name, command.request_id},
+                  std::move(summary)});
+}
+
+void ControlState::Remember(HistoryEntry entry) {
+  std::deque<HistoryEntry>& history = entry.change.operator_name.empty()
+                                          ? this->membership_history
+                                          : this->operator_history;
+  history.push_back(std::move(entry));
+  if (history.size() > kMaxHistory / 2) history.pop_front();
 }
 
 Declaration ControlState::CurrentDeclaration() const {
@@ -408,9 +443,16 @@
 }
 
 std::vector<HistoryEntry> ControlState::History(size_t limit) const {
-  const size_t count = std::min(limit, this->history.size());
-  return {this->history.rbegin(),
-          this->history.rbegin() + static_cast<ptrdiff_t>(count)};
+  std::vector<HistoryEntry> merged;
+  std::merge(this->operator_history.begin(), this->operator_history.end(),
+             this->membership_history.begin(), this->membership_history.end(),
+             std::back_inserter(merged),
+             [](const HistoryEntry& a, const HistoryEntry& b) {
+               return a.change.revision < b.change.revision;
+             });
+  std::reverse(merged.begin(), merged.end());
+  if (merged.size() > limit) merged.resize(limit);
+  return merged;
 }
 
 std::string ControlState::Snapshot() const {
@@ -432,6 +474,14 @@
     record->set_draining(known.draining);
     record->set_weight(known.operator_weight);
   }
+  for (const auto& [application, losses] : this->lost) {
+    for (const LostUpstream& loss : losses) {
+      pb::LostRecord* record = out.add_lost();
+      record->set_application(application);
+      record->mutable_upstream()->set_instance(loss.instance.Value());
+      record->mutable_upstream()->set_incarnation(loss.incarnation.Value());
+    }
+  }
   for (const auto& [instance, left] : this->departed) {
     pb::DepartedInstance* record = out.add_departed();
     record->set_instance(instance.Value());
@@ -451,8 +501,11 @@
   };
   add_ring(this->operator_responses, out.mutable_operator_requests());
   add_ring(this->membership_responses, out.mutable_membership_requests());
-  for (const HistoryEntry& entry : this->history) {
-    ToProto(entry, out.add_history());
+  for (const auto* entries :
+       {&this->operator_history, &this->membership_history}) {
+    for (const HistoryEntry& entry : *entries) {
+      ToProto(entry, out.add_history());
+    }
   }
   for (const ServiceChange& change : this->store.Export()) {
     ToProto(change, out.add_views());
@@ -502,6 +555,11 @@
       out.upstreams[instance] = {std::move(announcement), record.draining(),
                                  record.weight()};
     }
+    for (const pb::LostRecord& record : in.lost()) {
+      out.lost[record.application()].push_back(
+          {InstanceId(record.upstream().instance()),
+           Incarnation(record.upstream().incarnation())});
+    }
     for (const pb::DepartedInstance& record : in.departed()) {
       out.departed[InstanceId(record.instance())] = {
           Incarnation(record.incarnation()), Revision(record.revision()),
@@ -521,7 +579,7 @@
     }
     for (const pb::HistoryEntry& entry : in.history()) {
       BOOST_OUTCOME_TRY(read, FromProto(entry));
-      out.history.push_back(std::move(read));
+      out.Remember(std::move(read));
     }
     std::vector<ServiceChange> views;
     for (const pb::ServiceChange& change : in.views()) {
--- a/src/control/service_store.cc
+++ b/src/control/service_store.cc
@@ -62,12 +62,16 @@
     packer.Add(uint64_t{upstream.weight});
     packer.Add(uint64_t{upstream.draining});
   }
+  for (const LostUpstream& lost : view.lost) {
+    packer.Add(lost.instance.Value());
+    packer.Add(lost.incarnation.Value());
+  }
   return packer.Hash();
 }
 
 bool HeaderEquals(const ServiceView& a, const ServiceView& b) {
   return a.incarnation == b.incarnation && a.name == b.name &&
-         a.address == b.address && a.rules == b.rules;
+         a.address == b.address && a.rules == b.rules && a.lost == b.lost;
 }
 
 }  // namespace
@@ -90,6 +94,15 @@
                        part.applications.begin(), part.applications.end());
 }
 
+Subscription Normalize(Subscription subscription) {
+  for (std::vector<std::string>* names :
+       {&subscription.names, &subscription.applications}) {
+    std::sort(names->begin(), names->end());
+    names->erase(std::unique(names->begin(), names->end()), names->end());
+  }
+  return Union(subscription, {});
+}
+
 Subscription Union(const Subscription& a, const Subscription& b) {
   Subscription out;
   out.all = a.all || b.all;
@@ -231,9 +244,10 @@
   change.whole = whole;
   change.has_header = whole || entry.header_revision > from;
   if (change.has_header) {
-    change.header = {entry.header_revision, entry.view.name,
-                     entry.view.address,    entry.view.rules,
-                     entry.application,     entry.application_revision};
+    change.header = {entry.header_revision,     entry.view.name,
+                     entry.view.address,        entry.view.rules,
+                     entry.application,         entry.view.lost,
+                     entry.application_revision};
   }
   for (size_t i = 0; i < entry.view.upstreams.size(); ++i) {
     if (whole || entry.changed[i] > from) {
@@ -247,7 +261,8 @@
 }
 
 StoreUpdate ServiceStore::UpdateSince(Revision from,
-                                      const Subscription& subscription) const {
+                                      const Subscription& subscription,
+                                      const Subscription& known) const {
   if (from == Revision() || from > this->revision || from < this->floor ||
       this->revision.Value() - from.Value() > kMaxDeltaRevisions) {
     return this->Whole(subscription);
@@ -257,12 +272,14 @@
   update.revision = this->revision;
   update.hash = this->Hash(subscription);
   for (const auto& [id, entry] : this->services) {
-    if (entry.view.revision <= from) continue;
     if (Matches(subscription, entry.view.name, entry.application)) {
       // A subscriber that gained the service by a change of its application
       // has no earlier part of it.
-      update.services.push_back(
-          ChangeSince(entry, from, entry.application_revision > from));
+      const bool gained = entry.application_revision > from ||
+                          !Matches(known, entry.view.name, entry.application);
+      if (gained || entry.view.revision > from) {
+        update.services.push_back(ChangeSince(entry, from, gained));
+      }
     } else if (entry.application_revision > from) {
       ServiceChange gone;
       gone.id = id;
@@ -312,6 +329,7 @@
     entry->view.name = change.header.name;
     entry->view.address = change.header.address;
     entry->view.rules = change.header.rules;
+    entry->view.lost = change.header.lost;
     entry->application = change.header.application;
     entry->application_revision = change.header.application_revision;
   }
--- a/tests/control/control_codec_test.cc
+++ b/tests/control/control_codec_test.cc
@@ -47,7 +47,8 @@
   change.has_header = true;
   change.header = {Revision(2),      "aula",
                    {0x7f000a01, 80}, SampleDeclaration().services[0].rules,
-                   "aula-app",       Revision(1)};
+                   "aula-app",       {{InstanceId(5), Incarnation(6)}},
+                   Revision(1)};
   change.upstreams = {{{InstanceId(9),
                         Incarnation(4),
                         {0x7f000101, 7000},
@@ -85,8 +86,9 @@
   response.members = {{InstanceId(1), {0x7f000001, 9}, true, true}};
   response.report = report;
   return {SampleAnnouncement(),
-          Renewal{InstanceId(1), Incarnation(2), 3},
-          RenewalAck{InstanceId(1), Incarnation(2), 3, RenewalStatus::kRefused},
+          Renewal{InstanceId(1), Incarnation(2), 3, true},
+          RenewalAck{InstanceId(1), Incarnation(2), 3, RenewalStatus::kRefused,
+                     Incarnation(8)},
           DomainSummary{FailureDomainId(1),
                         InstanceId(2),
                         3,
@@ -101,7 +103,7 @@
                      4,
                      5,
                      6,
-                     {{InstanceId(9), Incarnation(4)}}},
+                     {{InstanceId(9), Incarnation(4), Incarnation(5)}}},
           LossReport{InstanceId(1), InstanceId(2), Incarnation(3)},
           digest,
           update,
--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -74,8 +74,14 @@
     }
     case 3:
       command.operator_name = "";
+      if (random->Chance(0.3)) {
+        command.body =
+            ForgetLost{InstanceId(instance), Incarnation(random->Below(20))};
+        break;
+      }
       command.body =
-          UpstreamLeave{InstanceId(instance), Incarnation(random->Below(20))};
+          UpstreamLeave{InstanceId(instance), Incarnation(random->Below(20)),
+                        random->Chance(0.5)};
       break;
     default:
       if (random->Chance(0.5)) {
@@ -160,6 +166,23 @@
   cr_assert(restored.value().Apply(Revision(revision + 1), put) == first);
 }
 
+// Guards against a history of an operator's changes that a restart of many
+// agents pushes out, and against one that a restore reorders.
+Test(control_state, history_keeps_operator_changes) {
+  ControlState state;
+  state.Apply(Revision(1), Put("a1", "ana", 0, {Declare("x", 1)}));
+  for (uint64_t i = 2; i < 1000; ++i) {
+    state.Apply(Revision(i), {std::to_string(i), "",
+                              UpstreamJoin{Announce(1 + i % 7, i, "x-app")}});
+  }
+  const std::vector<HistoryEntry> history = state.History(1000);
+  cr_assert_leq(history.size(), 256);
+  cr_assert(history.front().change.revision == Revision(999));
+  cr_assert(history.back().change == (ChangeRef{Revision(1), "ana", "a1"}));
+  cr_assert(ControlState::Restore(state.Snapshot()).value().History(1000) ==
+            history);
+}
+
 // Guards against packets of an old life of a service or upstream that are taken
 // for the present one.
 Test(control_state, ids_and_incarnations_are_not_reused) {
@@ -208,5 +231,43 @@
   }
 }
 
+// Guards against a view that hides the loss of an upstream: agents that take
+// over its buckets would then run a resent request a second time. A planned
+// leave states no loss.
+Test(control_state, view_states_lost_upstreams_until_they_are_forgotten) {
+  ControlState state;
+  state.Apply(Revision(1), Put("r1", "ana", 0, {Declare("aula", 7001)}));
+  for (uint64_t instance = 1; instance <= 3; ++instance) {
+    state.Apply(Revision(1 + instance),
+                {"j" + std::to_string(instance),
+                 {},
+                 UpstreamJoin{Announce(instance, 5, "aula-app")}});
+  }
+  state.Apply(Revision(5),
+              {"l1", {}, UpstreamLeave{InstanceId(1), Incarnation(5), true}});
+  state.Apply(Revision(6),
+              {"l2", {}, UpstreamLeave{InstanceId(2), Incarnation(5), false}});
+  // A restart within the lease loses what the earlier life knew.
+  state.Apply(Revision(7),
+              {"j4", {}, UpstreamJoin{Announce(3, 6, "aula-app")}});
+  const std::vector<LostUpstream> expected = {{InstanceId(1), Incarnation(5)},
+                                              {InstanceId(3), Incarnation(5)}};
+  cr_assert(state.Store().FindByName("aula")->lost == expected);
+
+  // The loss outlives a snapshot and reaches a process by delta.
+  Result<ControlState> restored = ControlState::Restore(state.Snapshot());
+  cr_assert(restored.has_value());
+  cr_assert(restored.value().Store().FindByName("aula")->lost == expected);
+  const Subscription all{true, {}, {}};
+  ServiceStore daemon;
+  cr_assert(daemon.Apply(state.Store().Whole(all), all).has_value());
+  state.Apply(Revision(8),
+              {"f1", {}, ForgetLost{InstanceId(1), Incarnation(5)}});
+  cr_assert(daemon.Apply(state.Store().UpdateSince(Revision(7), all), all)
+                .has_value());
+  const std::vector<LostUpstream> left = {{InstanceId(3), Incarnation(5)}};
+  cr_assert(daemon.FindByName("aula")->lost == left);
+}
+
 }  // namespace
 }  // namespace cornelhill
