--- a/src/config/schema_checker.cc
+++ b/src/config/schema_checker.cc
@@ -23,9 +23,6 @@
 // The deepest document of the project has four levels. The limit bounds the
 // recursion of the check and of printing a refused value.
 constexpr int kMaxDepth = 16;
-// std::regex recurses once for each character it matches, so a long string
-// must be refused before the check of `pattern`.
-constexpr size_t kMaxString = 1024;
 // Characters of a refused value that an error message shows.
 constexpr size_t kMaxShown = 60;
 
@@ -272,6 +269,8 @@
     this->root = Json{{"definitions", this->root["definitions"]},
                       {"$ref", "#/definitions/" + definition}};
   }
+  this->top = this->Resolve(this->root);
+  this->top.erase("definitions");
   valijson::SchemaParser parser(valijson::SchemaParser::kDraft7);
   parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(this->root),
                         *this->compiled);
@@ -291,7 +290,7 @@
 }
 
 Json SchemaChecker::FieldSchema(const FieldPath& path) const {
-  Json node = this->Resolve(this->root);
+  Json node = this->top;
   for (const std::string& step : path) {
     if (node.contains("items")) {
       node = this->Resolve(node["items"]);
@@ -310,14 +309,14 @@
   return FieldError(file, document, path, Accepts(this->FieldSchema(path)));
 }
 
-// Checks what must hold before the validator runs (bounded lists and strings)
-// and what the schema language cannot express (addresses).
+// Checks what the schema language cannot express (addresses), and the lengths
+// of lists before the validator runs: it keeps an error for each entry, which
+// took 900 MB for a list of 2,000,000 numbers.
 Result<void> SchemaChecker::CheckNode(const Json& node, const Json& document,
                                       const Json& value, FieldPath& path,
                                       const std::string& file) const {
   if (value.is_string()) {
     const auto& text = value.get_ref<const std::string&>();
-    if (text.size() > kMaxString) return this->Refuse(file, document, path);
     const std::string syntax = node.value("syntax", "");
     if (syntax.starts_with("ipv4-port")) {
       const Result<Endpoint> endpoint = ParseEndpoint(text);
@@ -354,8 +353,7 @@
 Result<void> SchemaChecker::Check(const Json& document,
                                   const std::string& file) const {
   FieldPath path;
-  BOOST_OUTCOME_TRY(this->CheckNode(this->Resolve(this->root), document,
-                                    document, path, file));
+  BOOST_OUTCOME_TRY(this->CheckNode(this->top, document, document, path, file));
 
   valijson::Validator validator;
   valijson::ValidationResults results;
