--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -72,7 +72,8 @@
     add_executable(${name} ${source})
     target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
     target_compile_options(${name} PRIVATE ${CORNELHILL_WARNINGS})
-    target_link_libraries(${name} PRIVATE cornelhill_agent cornelhill_control
+    target_link_libraries(${name} PRIVATE cornelhill_agent
+        cornelhill_test_support cornelhill_control
         cornelhill_ingress cornelhill_config cornelhill_observe
         benchmark::benchmark absl::flags absl::flags_parse)
     set_target_properties(${name} PROPERTIES
--- a/include/cornelhill/agent/agent.h
+++ b/include/cornelhill/agent/agent.h
@@ -141,8 +141,10 @@
   void OnUnknownFlow(Millis now, Forward forward, AgentOutput* out);
   void DecideAsHome(Millis now, Forward forward, AgentOutput* out);
   void DecideNewFlow(Millis now, Forward forward, AgentOutput* out);
-  void OnLostOwner(Millis now, const FlowUse& use, Forward forward,
-                   AgentOutput* out);
+  // Whether the first packet of a request of an unknown flow may open a flow. A
+  // later request belongs to a flow whose owner is lost.
+  bool OpensFlow(const PacketInfo& packet) const;
+  void OnLostOwner(Millis now, Forward forward, AgentOutput* out);
   void OnHandBack(Millis now, Forward forward, AgentOutput* out);
   void DecideOffer(Millis now, Forward forward, AgentOutput* out);
   void Offer(Millis now, const UpstreamInfo& to, ForwardRoute kind,
--- a/include/cornelhill/agent/flow_directory.h
+++ b/include/cornelhill/agent/flow_directory.h
@@ -40,11 +40,13 @@
  public:
   struct Entry {
     InstanceId owner;
+    Incarnation life;  // Of the owner.
     bool closed = false;
     Millis expires;
   };
 
-  void Record(Millis now, const FlowUse& use, InstanceId owner, bool closed);
+  void Record(Millis now, const FlowUse& use, InstanceId owner,
+              Incarnation life, bool closed);
 
   // Returns null where nothing is known. A zero nonce finds the newest use of
   // the flow key and is set to its nonce.
--- a/include/cornelhill/agent/flow_table.h
+++ b/include/cornelhill/agent/flow_table.h
@@ -33,6 +33,8 @@
   // What a repeatable request has had delivered, should it be queued again.
   std::vector<HeldPacket> delivered;
   bool was_started = false;
+  // Whether packets followed those in `delivered`.
+  bool more_delivered = false;
   // Empty where the answer is too large to keep.
   std::vector<std::string> answer;
   size_t answer_bytes = 0;
@@ -48,7 +50,8 @@
   bool repeatable = false;
   bool caller_closed = false;
   bool upstream_closed = false;
-  Endpoint balancer;  // Forwarded the newest packet; answers go there.
+  bool refused = false;  // The latest request; its late packets go nowhere.
+  Endpoint balancer;     // Forwarded the newest packet; answers go there.
   Millis last_active;
   std::unique_ptr<FlowBuffer> buffer;  // Null while idle.
 };
--- a/include/cornelhill/wire/data_messages.h
+++ b/include/cornelhill/wire/data_messages.h
@@ -149,6 +149,7 @@
   FlowNonce nonce;
   ServiceId service;
   bool closed = false;
+  Incarnation owner_incarnation;
 
   bool operator==(const OwnerReport&) const = default;
 };
@@ -173,6 +174,7 @@
   FlowNonce nonce;
   InstanceId owner;
   bool closed = false;
+  Incarnation owner_incarnation;
 
   bool operator==(const FlowLocation&) const = default;
 };
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -21,6 +21,10 @@
 // Most packets of one request held until its turn.
 constexpr size_t kMaxHeldPackets = 64;
 constexpr Millis kFlowIdleTimeout(60000);
+// A running request without a packet from either side for this time is ended:
+// where a part of an upload is lost and its caller gone, nothing else frees the
+// slot. TCP peers may be silent for longer and close by themselves.
+constexpr Millis kRunningSilence(60000);
 constexpr Millis kSweepPeriod(1000);
 constexpr Millis kReportPeriod(100000);
 
@@ -167,6 +171,11 @@
     if (!this->AnswerDuplicate(forward, out)) ++this->counters.duplicates;
     return;
   }
+  if (flow.state == FlowState::kIdle && flow.refused) {
+    // The rest of a refused upload must not reach the upstream.
+    this->AnswerDuplicate(forward, out);
+    return;
+  }
   this->PassToUpstream(now, flow, std::move(forward), out);
 }
 
@@ -207,7 +216,9 @@
   if (flow.state == FlowState::kRunning) {
     this->scheduler.OnBytes(now, KeyOf(forward.packet),
                             static_cast<uint32_t>(forward.payload.size()));
-    BufferOf(flow).newest_payload = forward.payload;
+    FlowBuffer& buffer = BufferOf(flow);
+    buffer.newest_payload = forward.payload;
+    buffer.more_delivered = true;
   }
   out->upstream.push_back(
       {UpstreamAction::kDeliver, forward.packet, std::move(forward.payload)});
@@ -229,7 +240,8 @@
   }
   const FlowUse use{key, flow.nonce};
   // A late copy of the first packet must find the owner for a while.
-  this->directory.Record(now, use, this->identity.instance, true);
+  this->directory.Record(now, use, this->identity.instance,
+                         this->identity.incarnation, true);
   this->ReportToHome(use, true, out);
   this->flows.erase(found);
   this->StartDueRequests(now, out);
@@ -238,10 +250,14 @@
 void Agent::Tick(Millis now, AgentOutput* out) {
   for (const TurnRefusal& shed : this->scheduler.Shed(now)) {
     Flow& flow = this->flows.at(shed.key.flow);
+    // A requeued request has reached the upstream once already.
+    const Verdict verdict =
+        flow.buffer->was_started ? Verdict::kMayHaveRun : Verdict::kNotRun;
     this->Refuse(now, shed.key, flow.balancer,
-                 {Verdict::kNotRun, shed.reason, shed.retry_after},
+                 {verdict, shed.reason, shed.retry_after},
                  std::move(flow.buffer->held.front().payload), out);
     flow.state = FlowState::kIdle;
+    flow.refused = true;
     flow.buffer.reset();
   }
   this->RequeueOverrun(now, out);
@@ -263,14 +279,25 @@
   std::erase_if(this->sent_replies,
                 [now](const auto& item) { return item.second.expires <= now; });
   std::vector<FlowKey> idle;
+  std::vector<FlowKey> silent;
   for (const auto& [key, flow] : this->flows) {
     const bool closed = key.protocol == Protocol::kTcp && flow.caller_closed &&
                         flow.upstream_closed;
     const Millis limit = closed ? kResendLifetime : kFlowIdleTimeout;
     if (flow.state == FlowState::kIdle && now - flow.last_active >= limit) {
       idle.push_back(key);
+    } else if (flow.state == FlowState::kRunning &&
+               key.protocol != Protocol::kTcp &&
+               now - flow.last_active >= kRunningSilence) {
+      silent.push_back(key);
     }
   }
+  std::sort(silent.begin(), silent.end());
+  for (const FlowKey& key : silent) {
+    this->EndRequest(now, key, this->flows.at(key), Reason::kCancelled,
+                     Millis(), out);
+  }
+  if (!silent.empty()) this->StartDueRequests(now, out);
   std::sort(idle.begin(), idle.end());
   for (const FlowKey& key : idle) this->CloseFlow(now, key, out);
 }
--- a/src/agent/agent_home.cc
+++ b/src/agent/agent_home.cc
@@ -82,7 +82,7 @@
   if (known != nullptr) {
     const UpstreamInfo* owner = this->UpstreamById(known->owner);
     if (owner == nullptr) {
-      this->OnLostOwner(now, use, std::move(forward), out);
+      this->OnLostOwner(now, std::move(forward), out);
     } else if (owner->instance != this->identity.instance) {
       this->PassOn(*owner, ForwardRoute::kToOwner, std::move(forward), out);
     } else {
@@ -99,10 +99,13 @@
     ++this->counters.dropped_no_lease;
     return;
   }
+  if (!this->OpensFlow(forward.packet)) {
+    this->OnLostOwner(now, std::move(forward), out);
+    return;
+  }
   // A SYN runs nothing by itself: what follows it needs the lost upstream.
-  const bool may_have_been_seen = forward.packet.resent &&
-                                  !forward.packet.repeatable &&
-                                  use.flow.protocol != Protocol::kTcp;
+  const bool may_have_been_seen =
+      forward.packet.resent && use.flow.protocol != Protocol::kTcp;
   if (may_have_been_seen && this->homes.InQuarantine(now, BucketOf(use.flow))) {
     ++this->counters.quarantined;
     this->Refuse(now, KeyOf(forward.packet), forward.balancer,
@@ -113,17 +116,25 @@
   this->DecideNewFlow(now, std::move(forward), out);
 }
 
-void Agent::OnLostOwner(Millis now, const FlowUse& use, Forward forward,
-                        AgentOutput* out) {
+bool Agent::OpensFlow(const PacketInfo& packet) const {
+  if (packet.flow.protocol == Protocol::kTcp || packet.request.Value() <= 1) {
+    return true;
+  }
+  // A caller whose first request was refused here numbers its next one higher.
+  RequestKey earlier = KeyOf(packet);
+  earlier.number = RequestNumber(packet.request.Value() - 1);
+  const FinishedRequest* known = this->finished.Find(earlier);
+  return known != nullptr && known->outcome == Outcome::kRefused &&
+         known->refusal.verdict == Verdict::kNotRun;
+}
+
+void Agent::OnLostOwner(Millis now, Forward forward, AgentOutput* out) {
   if (!forward.packet.first) {
     ++this->counters.dropped_unknown_flow;
     return;
   }
-  if (forward.packet.repeatable) {
-    this->directory.Erase(use);
-    this->DecideNewFlow(now, std::move(forward), out);
-    return;
-  }
+  // Also for repeatable work: the owner may only be paused, and a flow that two
+  // upstreams have would go from one to the other. The caller opens a new one.
   this->Refuse(now, KeyOf(forward.packet), forward.balancer,
                {Verdict::kMayHaveRun, Reason::kUpstreamLost, Millis()},
                std::move(forward.payload), out);
@@ -151,7 +162,7 @@
                   Forward forward, AgentOutput* out) {
   // Recorded before the packet leaves, so that a copy follows the first one.
   this->directory.Record(now, {forward.packet.flow, forward.packet.nonce},
-                         to.instance, false);
+                         to.instance, to.incarnation, false);
   const TurnRequest request = this->TurnRequestFor(now, forward);
   const auto learned =
       this->scheduler.Memory().Learned(request.key, request.caller);
@@ -198,8 +209,16 @@
     return;
   }
   const FlowDirectory::Entry* known = this->directory.Find(&use);
-  if (known != nullptr && known->owner != forward.sender) {
-    // A late copy of an earlier hand-back; the flow was offered elsewhere.
+  if (known == nullptr || known->owner != forward.sender) {
+    // A late copy of an earlier hand-back; the flow was offered elsewhere. What
+    // has been forgotten is decided when the caller resends.
+    return;
+  }
+  if (known->life != forward.sender_incarnation ||
+      !this->OpensFlow(forward.packet)) {
+    // The owner has restarted or has closed the flow: only the life to which a
+    // flow was offered can say that it did not take it.
+    this->OnLostOwner(now, std::move(forward), out);
     return;
   }
   this->directory.Erase(use);
@@ -258,7 +277,7 @@
   for (const UpstreamInfo& upstream : this->route->view.upstreams) {
     if (upstream.agent != from) continue;
     this->directory.Record(now, {report.flow, report.nonce}, upstream.instance,
-                           report.closed);
+                           report.owner_incarnation, report.closed);
   }
 }
 
@@ -304,7 +323,8 @@
   std::vector<FlowLocation> known = this->directory.EntriesIn(buckets);
   for (const auto& [key, flow] : this->flows) {
     if (!buckets[BucketOf(key).Value()]) continue;
-    known.push_back({key, flow.nonce, this->identity.instance, false});
+    known.push_back({key, flow.nonce, this->identity.instance, false,
+                     this->identity.incarnation});
   }
   return known;
 }
@@ -318,7 +338,7 @@
   for (const FlowLocation& entry : reply.entries) {
     if (entry.owner == this->identity.instance) continue;
     this->directory.Record(now, {entry.flow, entry.nonce}, entry.owner,
-                           entry.closed);
+                           entry.owner_incarnation, entry.closed);
   }
   if (this->homes.OnReply(reply)) this->ReplayHeld(now, out);
 }
@@ -343,8 +363,8 @@
   const UpstreamInfo* home = this->HomeOf(use.flow);
   if (home == nullptr || home->instance == this->identity.instance) return;
   out->sends.push_back(
-      {home->agent,
-       OwnerReport{use.flow, use.nonce, this->route->view.id, closed}});
+      {home->agent, OwnerReport{use.flow, use.nonce, this->route->view.id,
+                                closed, this->identity.incarnation}});
 }
 
 void Agent::ReportOpenFlows(AgentOutput* out) {
--- a/src/agent/agent_requests.cc
+++ b/src/agent/agent_requests.cc
@@ -104,9 +104,11 @@
                  {Verdict::kNotRun, refusal->reason, refusal->retry_after},
                  std::move(forward.payload), out);
     flow.state = FlowState::kIdle;
+    flow.refused = true;
     return;
   }
   flow.state = FlowState::kQueued;
+  flow.refused = false;
   flow.buffer = std::make_unique<FlowBuffer>();
   flow.buffer->held.push_back({forward.packet, std::move(forward.payload)});
 }
@@ -138,6 +140,7 @@
   this->Refuse(now, request, flow.balancer, {verdict, reason, retry_after},
                std::move(original), out);
   flow.state = FlowState::kIdle;
+  flow.refused = true;
   flow.buffer.reset();
 }
 
@@ -211,8 +214,12 @@
   for (const RequestKey& key : this->scheduler.Overrun(now)) {
     Flow& flow = this->flows.at(key.flow);
     FlowBuffer& buffer = BufferOf(flow);
-    // An answer that has begun cannot be started again from its beginning.
-    if (buffer.answer_bytes > 0 || buffer.delivered.size() != 1) continue;
+    // An answer that has begun cannot be started again from its beginning, nor
+    // a request of which only the first packet is kept.
+    if (buffer.answer_bytes > 0 || buffer.more_delivered ||
+        buffer.delivered.size() != 1) {
+      continue;
+    }
     this->CancelAtUpstream(key.flow, flow, out);
     this->scheduler.Cancel(now, key);
     HeldPacket first = std::move(buffer.delivered.front());
@@ -229,6 +236,7 @@
           {Verdict::kMayHaveRun, refusal->reason, refusal->retry_after},
           std::move(buffer.held.front().payload), out);
       flow.state = FlowState::kIdle;
+      flow.refused = true;
       flow.buffer.reset();
       continue;
     }
--- a/src/agent/home_buckets.cc
+++ b/src/agent/home_buckets.cc
@@ -38,19 +38,19 @@
     const uint16_t home = route.buckets.home[i];
     const bool is_home = home != kNoUpstream &&
                          route.view.upstreams[home].instance == this->self;
-    const bool gained = is_home && !state.home;
     state.home = is_home;
     if (!is_home) {
       state.gathered = Revision();
       continue;
     }
-    if (gained) {
-      for (const auto& [lost, seen] : this->losses) {
-        state.quarantine_until =
-            std::max(state.quarantine_until, seen + kResendLifetime);
-      }
+    if (this->IsGathered(state)) continue;
+    // Also a bucket gained earlier: what the lost upstream would have replied
+    // is lost.
+    for (const auto& [lost, seen] : this->losses) {
+      state.quarantine_until =
+          std::max(state.quarantine_until, seen + kResendLifetime);
     }
-    if (!this->IsGathered(state)) wanted.set(i);
+    wanted.set(i);
   }
   this->StartGathering(now, route, wanted);
 }
--- a/src/wire/data_codec.cc
+++ b/src/wire/data_codec.cc
@@ -176,6 +176,7 @@
   out->set_nonce(in.nonce.Value());
   out->set_service_id(in.service.Value());
   out->set_closed(in.closed);
+  out->set_owner_incarnation(in.owner_incarnation.Value());
 }
 
 Result<DataMessage> FromProto(const pb::OwnerReport& in) {
@@ -185,6 +186,7 @@
   out.nonce = FlowNonce(in.nonce());
   out.service = ServiceId(in.service_id());
   out.closed = in.closed();
+  out.owner_incarnation = Incarnation(in.owner_incarnation());
   return DataMessage(out);
 }
 
@@ -226,6 +228,7 @@
     added->set_nonce(entry.nonce.Value());
     added->set_owner_instance(entry.owner.Value());
     added->set_closed(entry.closed);
+    added->set_owner_incarnation(entry.owner_incarnation.Value());
   }
 }
 
@@ -247,6 +250,7 @@
     location.nonce = FlowNonce(entry.nonce());
     location.owner = InstanceId(entry.owner_instance());
     location.closed = entry.closed();
+    location.owner_incarnation = Incarnation(entry.owner_incarnation());
     out.entries.push_back(location);
   }
   return DataMessage(std::move(out));
--- a/tests/wire/data_codec_test.cc
+++ b/tests/wire/data_codec_test.cc
@@ -37,7 +37,8 @@
   answer.refusal = {Verdict::kNotRun, Reason::kOverload, Millis(40)};
   OwnerHint hint{answer.flow, FlowNonce(5), ServiceId(7), InstanceId(9),
                  Endpoint{0x7f000201, 6100}};
-  OwnerReport report{answer.flow, FlowNonce(5), ServiceId(7), true};
+  OwnerReport report{answer.flow, FlowNonce(5), ServiceId(7), true,
+                     Incarnation(3)};
   DirectoryQuery query;
   query.service = SampleForward().service;
   query.requester = InstanceId(3);
