agent: Refuse copies in transit after an agent was replaced

Non-repeatable work is now answered `may_have_run` for 1 s after such a replacement. After an expired lease the copies are gone, so nothing changes there.

--- a/include/cornelhill/agent/home_buckets.h
+++ b/include/cornelhill/agent/home_buckets.h
@@ -48,8 +48,14 @@
   void SetRoute(Millis now, const ServiceRoute& route);
 
   HomeRole RoleOf(BucketIndex bucket) const;
+
+  // Whether a resent first packet may have been seen by a lost agent.
   bool InQuarantine(Millis now, BucketIndex bucket) const;
 
+  // Whether the network may still deliver a second copy, not marked as resent,
+  // of a packet that a lost agent has seen.
+  bool CopiesInTransit(Millis now, BucketIndex bucket) const;
+
   // Returns the holder of a promise that is newer than this agent's view, or
   // null.
   const BucketFence* FenceOf(BucketIndex bucket) const;
@@ -75,6 +81,12 @@
     Revision gathered;  // 0: never.
     BucketFence fence;
     Millis quarantine_until;
+    Millis copies_until;
+  };
+
+  struct Loss {
+    Millis seen;
+    bool replaced = false;  // By a new life before its lease had expired.
   };
 
   void NoteLosses(Millis now, const ServiceView& view);
@@ -92,7 +104,7 @@
   Revision gather_revision;
   std::map<InstanceId, Awaited> awaited;
   Millis next_query;
-  std::map<std::pair<InstanceId, Incarnation>, Millis> losses;
+  std::map<std::pair<InstanceId, Incarnation>, Loss> losses;
 };
 
 }  // namespace cornelhill
--- a/src/agent/agent_home.cc
+++ b/src/agent/agent_home.cc
@@ -104,9 +104,11 @@
     return;
   }
   // A SYN runs nothing by itself: what follows it needs the lost upstream.
+  const BucketIndex bucket = BucketOf(use.flow);
   const bool may_have_been_seen =
-      forward.packet.resent && use.flow.protocol != Protocol::kTcp;
-  if (may_have_been_seen && this->homes.InQuarantine(now, BucketOf(use.flow))) {
+      (forward.packet.resent && this->homes.InQuarantine(now, bucket)) ||
+      (!forward.packet.repeatable && this->homes.CopiesInTransit(now, bucket));
+  if (may_have_been_seen && use.flow.protocol != Protocol::kTcp) {
     ++this->counters.quarantined;
     this->Refuse(now, KeyOf(forward.packet), forward.balancer,
                  {Verdict::kMayHaveRun, Reason::kQuarantine, Millis()},
--- a/src/agent/home_buckets.cc
+++ b/src/agent/home_buckets.cc
@@ -12,6 +12,10 @@
 // repeated after a few round trips.
 constexpr Millis kQueryPeriod(50);
 
+// How long the network may hold a copy of a packet. An expired lease is known
+// at least 5 s after the loss, but a restarted agent is replaced at once.
+constexpr Millis kNetworkCopyLifetime(1000);
+
 }  // namespace
 
 HomeBuckets::HomeBuckets(InstanceId self, Incarnation incarnation)
@@ -46,9 +50,12 @@
     if (this->IsGathered(state)) continue;
     // Also a bucket gained earlier: what the lost upstream would have replied
     // is lost.
-    for (const auto& [lost, seen] : this->losses) {
+    for (const auto& [lost, loss] : this->losses) {
       state.quarantine_until =
-          std::max(state.quarantine_until, seen + kResendLifetime);
+          std::max(state.quarantine_until, loss.seen + kResendLifetime);
+      if (!loss.replaced) continue;
+      state.copies_until =
+          std::max(state.copies_until, loss.seen + kNetworkCopyLifetime);
     }
     wanted.set(i);
   }
@@ -57,7 +64,13 @@
 
 void HomeBuckets::NoteLosses(Millis now, const ServiceView& view) {
   for (const LostUpstream& lost : view.lost) {
-    this->losses.emplace(std::pair(lost.instance, lost.incarnation), now);
+    const bool replaced =
+        std::any_of(view.upstreams.begin(), view.upstreams.end(),
+                    [&lost](const UpstreamInfo& upstream) {
+                      return upstream.instance == lost.instance;
+                    });
+    this->losses.emplace(std::pair(lost.instance, lost.incarnation),
+                         Loss{now, replaced});
   }
   std::erase_if(this->losses, [&view](const auto& item) {
     return std::none_of(view.lost.begin(), view.lost.end(),
@@ -109,6 +122,10 @@
   return now < this->buckets[bucket.Value()].quarantine_until;
 }
 
+bool HomeBuckets::CopiesInTransit(Millis now, BucketIndex bucket) const {
+  return now < this->buckets[bucket.Value()].copies_until;
+}
+
 const BucketFence* HomeBuckets::FenceOf(BucketIndex bucket) const {
   const BucketFence& fence = this->buckets[bucket.Value()].fence;
   return fence.revision > this->revision ? &fence : nullptr;
--- a/tests/support/pool.cc
+++ b/tests/support/pool.cc
@@ -254,7 +254,6 @@
 
 bool TestPool::InService(uint32_t upstream) const {
   const AgentProcess& process = *this->agents[upstream];
-  if (!process.alive && process.drained_at >= Millis()) return false;
   const auto& upstreams = this->views[process.service].upstreams;
   return std::any_of(upstreams.begin(), upstreams.end(),
                      [&process](const UpstreamInfo& known) {
@@ -682,7 +681,12 @@
     const bool idle =
         std::visit([](const auto& core) { return core.Idle(); }, *process.core);
     if (!process.alive || (idle && process.running == 0)) continue;
-    this->Fault(&this->faults.slot_leaked, "agent " + std::to_string(i));
+    std::string what = "agent " + std::to_string(i) + " holds work";
+    for (const auto& [key, job] : process.jobs) {
+      if (job.running) what += " " + std::to_string(job.work) + " (runs)";
+      if (!job.ended && !job.running) what += " " + std::to_string(job.work);
+    }
+    this->Fault(&this->faults.slot_leaked, what);
   }
 }
 
