Rename the drop reason of the balancer's decision to RouteDrop

observe/metrics.h defines cornelhill::DropReason too. No source file included both headers so far; the balancer's process needs both. No change of behaviour.

--- a/include/cornelhill/route/balancer.h
+++ b/include/cornelhill/route/balancer.h
@@ -11,7 +11,7 @@
 namespace cornelhill {
 
 // Why a balancer dropped a packet.
-enum class DropReason : uint8_t { kUnknownService, kNoUpstream };
+enum class RouteDrop : uint8_t { kUnknownService, kNoUpstream };
 
 // Where a balancer sends a packet.
 struct RouteDecision {
@@ -34,7 +34,7 @@
   // Returns the agent for a packet, or nothing with `drop` set. Does not
   // allocate; the cost does not grow with the number of upstreams.
   std::optional<RouteDecision> Route(const FlowKey& flow,
-                                     DropReason* drop) const;
+                                     RouteDrop* drop) const;
 
   // Remembers the owner of a flow, where the owner is known in the view.
   void OnOwnerHint(const OwnerHint& hint);
--- a/src/route/balancer.cc
+++ b/src/route/balancer.cc
@@ -32,10 +32,10 @@
 }
 
 std::optional<RouteDecision> Balancer::Route(const FlowKey& flow,
-                                             DropReason* drop) const {
+                                             RouteDrop* drop) const {
   const auto route = this->services.Find(flow.service);
   if (route == nullptr) {
-    *drop = DropReason::kUnknownService;
+    *drop = RouteDrop::kUnknownService;
     return std::nullopt;
   }
   if (const auto owner = this->flows.Find(flow)) {
@@ -48,7 +48,7 @@
   }
   const uint16_t home = route->buckets.home[BucketOf(flow).Value()];
   if (home == kNoUpstream) {
-    *drop = DropReason::kNoUpstream;
+    *drop = RouteDrop::kNoUpstream;
     return std::nullopt;
   }
   return DecisionFor(*route, home);
