List the agent's decisions in AgentOutput for the event timeline

The agent only counted what it decided, so an event could not name the flow. AgentOutput now lists accepted, closed and reset flows and queued, started, cancelled, answered and refused requests; offers and hand-backs show in its sends and are not listed twice. Accessors for flows, buckets in quarantine and queued requests of a class; a flow keeps when it was accepted (8 bytes).

--- a/include/cornelhill/agent/agent.h
+++ b/include/cornelhill/agent/agent.h
@@ -41,10 +41,32 @@
   std::string payload;
 };
 
-// What an agent wants sent, in order.
+// What happened to a flow or a request, for the event timeline. Offers and
+// hand-backs are not listed: they show in `AgentOutput::sends`.
+enum class AgentEventKind : uint8_t {
+  kFlowAccepted,
+  kFlowClosed,
+  kFlowReset,  // By caller or upstream; the close follows.
+  kRequestQueued,
+  kRequestStarted,
+  kRequestCancelled,  // At the upstream; the refusal follows.
+  kRequestAnswered,
+  kRequestRefused,  // `refusal` is set.
+  kAnswerResent,
+  kDirectoryGathered,  // `key` is not set.
+};
+
+struct AgentEvent {
+  AgentEventKind kind = AgentEventKind::kFlowAccepted;
+  RequestKey key;
+  Refusal refusal;
+};
+
+// What an agent wants sent, in order, and what it has decided.
 struct AgentOutput {
   std::vector<SendMessage> sends;
   std::vector<UpstreamPacket> upstream;
+  std::vector<AgentEvent> events;
 };
 
 // Counts since the start of the process.
@@ -105,6 +127,11 @@
   bool Idle() const;
   bool Draining() const { return this->draining; }
   size_t OpenFlows() const { return this->flows.size(); }
+  const FlowTable& Flows() const { return this->flows; }
+  // Buckets in quarantine for which this agent is home.
+  size_t QuarantinedBuckets(Millis now) const {
+    return this->homes.QuarantinedCount(now);
+  }
   const AgentCounters& Counters() const { return this->counters; }
   const TurnScheduler& Scheduler() const { return this->scheduler; }
   const AgentIdentity& Identity() const { return this->identity; }
--- a/include/cornelhill/agent/flow_table.h
+++ b/include/cornelhill/agent/flow_table.h
@@ -49,6 +49,7 @@
   bool caller_closed = false;
   bool upstream_closed = false;
   Endpoint balancer;  // Forwarded the newest packet; answers go there.
+  Millis accepted;
   Millis last_active;
   std::unique_ptr<FlowBuffer> buffer;  // Null while idle.
 };
--- a/include/cornelhill/agent/home_buckets.h
+++ b/include/cornelhill/agent/home_buckets.h
@@ -49,6 +49,7 @@
 
   HomeRole RoleOf(BucketIndex bucket) const;
   bool InQuarantine(Millis now, BucketIndex bucket) const;
+  size_t QuarantinedCount(Millis now) const;
 
   // Returns the holder of a promise that is newer than this agent's view, or
   // null.
--- a/include/cornelhill/turn/turn_scheduler.h
+++ b/include/cornelhill/turn/turn_scheduler.h
@@ -127,6 +127,8 @@
   const DecisionRing& Refusals() const { return this->refusals; }
 
   size_t QueuedCount() const;
+  // Queued requests of a class. Costs O(queued).
+  size_t QueuedCount(WorkClass work_class) const;
   size_t RunningCount() const;
   const ClassMemory& Memory() const { return this->memory; }
 
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -123,6 +123,7 @@
   const FinishedRequest* known = this->finished.Find(key);
   if (known == nullptr || known->outcome == Outcome::kDeclined) return false;
   ++this->counters.duplicates;
+  out->events.push_back({AgentEventKind::kAnswerResent, key, {}});
   if (known->outcome == Outcome::kRefused) {
     SendRefusal(key, forward.balancer, known->refusal, forward.payload, out);
     return true;
@@ -140,6 +141,8 @@
   flow.last_active = now;
   if (forward.hops > 0) this->SendHint(key, flow, out);
   if (forward.packet.reset) {
+    out->events.push_back(
+        {AgentEventKind::kFlowReset, KeyOf(forward.packet), {}});
     this->PassToUpstream(now, flow, std::move(forward), out);
     this->CloseFlow(now, key, out);
     return;
@@ -227,6 +230,8 @@
   if (flow.state != FlowState::kIdle) {
     this->EndRequest(now, key, flow, Reason::kCancelled, Millis(), out);
   }
+  out->events.push_back(
+      {AgentEventKind::kFlowClosed, {key, flow.nonce, flow.request}, {}});
   const FlowUse use{key, flow.nonce};
   // A late copy of the first packet must find the owner for a while.
   this->directory.Record(now, use, this->identity.instance, true);
--- a/src/agent/agent_home.cc
+++ b/src/agent/agent_home.cc
@@ -320,7 +320,9 @@
     this->directory.Record(now, {entry.flow, entry.nonce}, entry.owner,
                            entry.closed);
   }
-  if (this->homes.OnReply(reply)) this->ReplayHeld(now, out);
+  if (!this->homes.OnReply(reply)) return;
+  out->events.push_back({AgentEventKind::kDirectoryGathered, {}, {}});
+  this->ReplayHeld(now, out);
 }
 
 void Agent::SendQueries(Millis now, AgentOutput* out) {
--- a/src/agent/agent_requests.cc
+++ b/src/agent/agent_requests.cc
@@ -39,6 +39,7 @@
 }  // namespace internal
 
 using internal::BufferOf;
+using internal::KeyOf;
 using internal::NonceMatches;
 using internal::SendAnswer;
 using internal::SendRefusal;
@@ -89,6 +90,9 @@
   Flow& flow = this->flows[key];
   flow.nonce = forward.packet.nonce;
   flow.balancer = forward.balancer;
+  flow.accepted = now;
+  out->events.push_back(
+      {AgentEventKind::kFlowAccepted, KeyOf(forward.packet), {}});
   if (forward.hops > 0) this->SendHint(key, flow, out);
   this->Queue(now, flow, std::move(forward), out);
   this->StartDueRequests(now, out);
@@ -106,6 +110,7 @@
     flow.state = FlowState::kIdle;
     return;
   }
+  out->events.push_back({AgentEventKind::kRequestQueued, request.key, {}});
   flow.state = FlowState::kQueued;
   flow.buffer = std::make_unique<FlowBuffer>();
   flow.buffer->held.push_back({forward.packet, std::move(forward.payload)});
@@ -115,6 +120,7 @@
                    const Refusal& refusal, std::string original,
                    AgentOutput* out) {
   ++this->counters.requests_refused;
+  out->events.push_back({AgentEventKind::kRequestRefused, key, refusal});
   this->finished.Add(now, key,
                      FinishedRequest{Outcome::kRefused, refusal, {}, false});
   SendRefusal(key, balancer, refusal, std::move(original), out);
@@ -147,6 +153,8 @@
   packet.flow = key;
   packet.nonce = flow.nonce;
   packet.request = flow.request;
+  out->events.push_back(
+      {AgentEventKind::kRequestCancelled, {key, flow.nonce, flow.request}, {}});
   out->upstream.push_back(
       {UpstreamAction::kCancel, packet, flow.buffer->newest_payload});
 }
@@ -177,9 +185,12 @@
   if (answer.last) flow.upstream_closed = true;
   if (flow.state == FlowState::kRunning && (answer.last || answer.reset)) {
     this->FinishRequest(now, answer.flow, flow);
+    out->events.push_back({AgentEventKind::kRequestAnswered, key, {}});
     this->StartDueRequests(now, out);
   }
-  if (answer.reset) this->CloseFlow(now, answer.flow, out);
+  if (!answer.reset) return;
+  out->events.push_back({AgentEventKind::kFlowReset, key, {}});
+  this->CloseFlow(now, answer.flow, out);
 }
 
 void Agent::FinishRequest(Millis now, const FlowKey& key, Flow& flow) {
@@ -243,6 +254,7 @@
     Flow& flow = found->second;
     assert(flow.state == FlowState::kQueued);
     ++this->counters.requests_started;
+    out->events.push_back({AgentEventKind::kRequestStarted, *key, {}});
     flow.state = FlowState::kRunning;
     FlowBuffer& buffer = BufferOf(flow);
     buffer.was_started = true;
--- a/src/agent/home_buckets.cc
+++ b/src/agent/home_buckets.cc
@@ -109,6 +109,14 @@
   return now < this->buckets[bucket.Value()].quarantine_until;
 }
 
+size_t HomeBuckets::QuarantinedCount(Millis now) const {
+  return static_cast<size_t>(
+      std::count_if(this->buckets.begin(), this->buckets.end(),
+                    [now](const BucketState& state) {
+                      return state.home && now < state.quarantine_until;
+                    }));
+}
+
 const BucketFence* HomeBuckets::FenceOf(BucketIndex bucket) const {
   const BucketFence& fence = this->buckets[bucket.Value()].fence;
   return fence.revision > this->revision ? &fence : nullptr;
--- a/src/turn/turn_scheduler.cc
+++ b/src/turn/turn_scheduler.cc
@@ -606,6 +606,13 @@
 
 size_t TurnScheduler::QueuedCount() const { return this->queue.size(); }
 
+size_t TurnScheduler::QueuedCount(WorkClass work_class) const {
+  return static_cast<size_t>(std::count_if(
+      this->queue.begin(), this->queue.end(), [work_class](const auto& item) {
+        return item.second.work_class == work_class;
+      }));
+}
+
 size_t TurnScheduler::RunningCount() const { return this->running.size(); }
 
 }  // namespace cornelhill
