Record events and metrics in each process and answer queries

Events and metrics existed as a library but no process recorded any. Each cornelhilld process now has a ProcessObserver: an event ring, a hybrid clock, metrics served at metrics_address, and a ROUTER at timeline_address for event, flow and decision queries. Event queries are read on the ROUTER's thread, since 10,000 events take milliseconds; queries about the agent run on its event loop. Drops record at most one event a second for each cause, so that a flood does not overwrite the rest of the ring. New event incarnation_replaced.

--- a/include/cornelhill/daemon/control_client.h
+++ b/include/cornelhill/daemon/control_client.h
@@ -24,6 +24,8 @@
   struct Handlers {
     // Something changed; called with every service of the subscription.
     std::function<void(const std::vector<const ServiceView*>&)> on_views;
+    // A message of the control instance `member` could not be decoded.
+    std::function<void(const std::string& member, const Error& error)> on_drop;
   };
 
   // `announcement` is set for an agent.
--- a/include/cornelhill/daemon/runtime.h
+++ b/include/cornelhill/daemon/runtime.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "cornelhill/base/millis.h"
+#include "cornelhill/daemon/process_observer.h"
 
 namespace cornelhill {
 
@@ -52,22 +53,28 @@
   bool draining = false;
 };
 
-// Counts dropped messages and logs them: at most one line a second for each
-// reason, with the count. Not thread-safe.
+// Counts dropped messages, logs them and records them as events: at most one
+// line and one event a second for each name, with the count. Not thread-safe.
 class DropLog {
  public:
-  void Count(const std::string& reason, const std::string& detail);
+  explicit DropLog(ProcessObserver& observer) : observer(observer) {}
+
+  // `name` tells more than the reason. `flow` is that of the message, where it
+  // is known.
+  void Count(DropReason reason, const std::string& name,
+             const std::string& detail, const FlowKey& flow = {});
 
   // Total of all reasons.
   uint64_t Total() const { return this->total; }
 
  private:
-  struct Reason {
+  struct Window {
     uint64_t since_last_line = 0;
     Millis last_line = Millis(-1000000);
   };
 
-  std::map<std::string, Reason> reasons;
+  ProcessObserver& observer;
+  std::map<std::string, Window> windows;
   uint64_t total = 0;
 };
 
--- a/include/cornelhill/observe/event.h
+++ b/include/cornelhill/observe/event.h
@@ -52,6 +52,7 @@
   kProcessStarted,
   kProcessStopping,
   kClockDriftRefused,
+  kIncarnationReplaced,
 };
 
 // The group that an event's name belongs to.
@@ -153,6 +154,10 @@
     EventKindInfo{EventKind::kClockDriftRefused, EventGroup::kProcess,
                   "clock_drift_refused",
                   "A received clock was too far ahead and was not merged."},
+    EventKindInfo{EventKind::kIncarnationReplaced, EventGroup::kUpstream,
+                  "incarnation_replaced",
+                  "An agent took a new incarnation after its lease had "
+                  "expired."},
 };
 
 // Returns whether `value` is that of a kind. Thread-safe.
--- a/src/daemon/agent_role.cc
+++ b/src/daemon/agent_role.cc
@@ -6,8 +6,11 @@
 #include "cornelhill/agent/agent.h"
 #include "cornelhill/base/hash.h"
 #include "cornelhill/base/log.h"
+#include "cornelhill/daemon/agent_observer.h"
 #include "cornelhill/daemon/control_client.h"
 #include "cornelhill/daemon/datagram_socket.h"
+#include "cornelhill/daemon/inspect_agent.h"
+#include "cornelhill/daemon/process_observer.h"
 #include "cornelhill/daemon/roles.h"
 #include "cornelhill/daemon/runtime.h"
 #include "cornelhill/ingress/ingress.h"
@@ -18,6 +21,7 @@
 
 constexpr Millis kTickPeriod(5);
 constexpr Millis kCountersPeriod(10000);
+constexpr Millis kGaugesPeriod(1000);
 // A drained agent stays for late copies of requests that it answered.
 constexpr Millis kDrainLinger = kResendLifetime;
 constexpr Millis kDrainRequestPeriod(500);
@@ -53,15 +57,26 @@
   AgentRole(const Settings& settings, const DeliveryPlugin& plugin)
       : settings(settings),
         plugin(plugin),
+        observer(runtime.Io(), settings),
         core(IdentityOf(settings)),
+        observed(core, observer),
         data(runtime.Io()),
         delivery(runtime.Io()),
+        drops(observer),
         control(runtime.Io(), settings,
                 Subscription{false, {}, {settings.application}},
                 AnnouncementOf(settings, core.Identity()),
-                {[this](const auto& views) { this->OnViews(views); }}) {}
+                {[this](const auto& views) { this->OnViews(views); },
+                 [this](const std::string& member, const Error& error) {
+                   this->drops.Count(DropReasonOf(error), "bad_control_message",
+                                     member + ": " + error.message);
+                 }}) {}
 
   Result<void> Run() {
+    BOOST_OUTCOME_TRY(this->observer.Start([this](const InspectMessage& query) {
+      return InspectAgent(this->core, this->settings.instance, query,
+                          MonotonicNow(), WallNow());
+    }));
     BOOST_OUTCOME_TRY(this->data.Open(this->settings.data_address));
     BOOST_OUTCOME_TRY(this->delivery.Open(this->settings.delivery.address));
     this->data.Start([this](Endpoint from, std::string_view bytes) {
@@ -75,7 +90,10 @@
     this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
     this->runtime.Every(kCountersPeriod,
                         [this] { this->LogCounters("agent_counters"); });
+    this->runtime.Every(kGaugesPeriod,
+                        [this] { this->observed.OnSecond(MonotonicNow()); });
     this->runtime.OnDrain([this] {
+      this->observed.OnDrain();
       this->core.Drain();
       this->control.RequestDrain();
       this->runtime.Every(kDrainRequestPeriod, [this] {
@@ -96,7 +114,10 @@
     for (const ServiceView* view : views) {
       this->drain_in_effect = this->drain_in_effect || IsDraining(*view);
       AgentOutput out;
-      this->core.SetView(MonotonicNow(), *view, &out);
+      const Millis now = MonotonicNow();
+      this->core.SetView(now, *view, &out);
+      this->observed.OnView(now, *view);
+      this->observed.OnOutput(now, out);
       this->Carry(std::move(out));
       LogLine("service_in_effect")
           .Add("service", view->name)
@@ -146,9 +167,12 @@
           .Warn()
           .Add("from", this->core.Identity().incarnation.Value())
           .Add("to", present.Value());
+      this->observed.OnIncarnation(this->core.Identity().incarnation, present);
       this->core.Rejoin(present);
     }
-    if (this->control.MayDecide()) {
+    const bool may_decide = this->control.MayDecide();
+    this->observed.OnLease(may_decide);
+    if (may_decide) {
       this->core.SetLease(MonotonicNow() + kTickPeriod + kTickPeriod);
     }
   }
@@ -156,41 +180,51 @@
   void OnData(Endpoint from, std::string_view bytes) {
     Result<DataMessage> message = DecodeDataMessage(bytes);
     if (!message.has_value()) {
-      this->drops.Count("bad_data_message",
+      this->drops.Count(DropReasonOf(message.error()), "bad_data_message",
                         ToString(from) + ": " + message.error().message);
       return;
     }
+    const auto* forward = std::get_if<Forward>(&message.value());
+    const FlowKey flow = forward == nullptr ? FlowKey() : forward->packet.flow;
     AgentOutput out;
-    this->core.OnMessage(MonotonicNow(), from, std::move(message.value()),
-                         &out);
+    const Millis now = MonotonicNow();
+    this->core.OnMessage(now, from, std::move(message.value()), &out);
+    this->observed.OnOutput(now, out, flow);
     this->Carry(std::move(out));
   }
 
   void OnUpstream(Endpoint from, std::string_view bytes) {
     if (from != this->settings.delivery.upstream) {
-      this->drops.Count("unexpected_upstream", ToString(from));
+      this->drops.Count(DropReason::kUnmatched, "unexpected_upstream",
+                        ToString(from));
       return;
     }
     Result<Encapsulated> packet = DecodeEncapsulated(bytes);
     if (!packet.has_value()) {
-      this->drops.Count("bad_upstream_packet", packet.error().message);
+      this->drops.Count(DropReasonOf(packet.error()), "bad_upstream_packet",
+                        packet.error().message);
       return;
     }
     const Result<AnswerInfo> answer = this->plugin.read_answer(packet.value());
     if (!answer.has_value()) {
-      this->drops.Count("bad_answer", answer.error().message);
+      this->drops.Count(DropReasonOf(answer.error()), "bad_answer",
+                        answer.error().message);
       return;
     }
     AgentOutput out;
-    this->core.OnAnswer(MonotonicNow(), answer.value(),
-                        std::move(packet.value().payload), &out);
+    const Millis now = MonotonicNow();
+    this->core.OnAnswer(now, answer.value(), std::move(packet.value().payload),
+                        &out);
+    this->observed.OnOutput(now, out, answer.value().flow);
     this->Carry(std::move(out));
   }
 
   void Tick() {
     this->FollowLease();
     AgentOutput out;
-    this->core.Tick(MonotonicNow(), &out);
+    const Millis now = MonotonicNow();
+    this->core.Tick(now, &out);
+    this->observed.OnOutput(now, out);
     this->Carry(std::move(out));
     if (this->core.Draining()) this->StopWhenDrained();
   }
@@ -204,6 +238,7 @@
     if (!this->idle_since.has_value()) this->idle_since = now;
     if (now - *this->idle_since < kDrainLinger) return;
     if (this->control.HasLeft() || now - *this->idle_since > kLeaveTimeout) {
+      this->observed.OnLeft();
       this->runtime.Stop();
     } else if (now >= this->next_leave) {
       this->next_leave = now + kLeavePeriod;
@@ -221,7 +256,8 @@
               ? this->plugin.cancel(packet.packet, packet.payload)
               : this->plugin.wrap(packet.packet, std::move(packet.payload));
       if (!wrapped.has_value()) {
-        this->drops.Count("unwrapped_packet", wrapped.error().message);
+        this->drops.Count(DropReasonOf(wrapped.error()), "unwrapped_packet",
+                          wrapped.error().message, packet.packet.flow);
         continue;
       }
       this->delivery.Send(this->settings.delivery.upstream,
@@ -232,7 +268,9 @@
   const Settings& settings;
   const DeliveryPlugin& plugin;
   Runtime runtime;
+  ProcessObserver observer;
   Agent core;
+  AgentObserver observed;
   DatagramSocket data;
   DatagramSocket delivery;
   DropLog drops;
--- a/src/daemon/balancer_role.cc
+++ b/src/daemon/balancer_role.cc
@@ -13,6 +13,7 @@
 #include "cornelhill/base/log.h"
 #include "cornelhill/daemon/control_client.h"
 #include "cornelhill/daemon/datagram_socket.h"
+#include "cornelhill/daemon/process_observer.h"
 #include "cornelhill/daemon/roles.h"
 #include "cornelhill/daemon/runtime.h"
 #include "cornelhill/ingress/ingress.h"
@@ -28,6 +29,8 @@
 
 // One ingress socket with the thread that serves it.
 struct IngressWorker {
+  explicit IngressWorker(ProcessObserver& observer) : drops(observer) {}
+
   boost::asio::io_context io;
   DatagramSocket socket{io};
   DropLog drops;
@@ -39,19 +42,26 @@
   BalancerRole(const Settings& settings, const IngressPlugin& plugin)
       : settings(settings),
         plugin(plugin),
+        observer(runtime.Io(), settings),
         core(settings.flow_cache_entries),
         data(runtime.Io()),
+        drops(observer),
         control(runtime.Io(), settings, Subscription{true, {}, {}},
                 std::nullopt,
-                {[this](const auto& views) { this->OnViews(views); }}) {}
+                {[this](const auto& views) { this->OnViews(views); },
+                 [this](const std::string& member, const Error& error) {
+                   this->drops.Count(DropReasonOf(error), "bad_control_message",
+                                     member + ": " + error.message);
+                 }}) {}
 
   Result<void> Run() {
+    BOOST_OUTCOME_TRY(this->observer.Start());
     BOOST_OUTCOME_TRY(this->data.Open(this->settings.data_address));
     this->data.Start([this](Endpoint from, std::string_view bytes) {
       this->OnData(from, bytes);
     });
     for (uint32_t i = 0; i < this->settings.ingress.threads; ++i) {
-      this->workers.emplace_back();
+      this->workers.emplace_back(this->observer);
       IngressWorker& worker = this->workers.back();
       BOOST_OUTCOME_TRY(
           worker.socket.Open(this->settings.ingress.address, true));
@@ -62,6 +72,7 @@
     BOOST_OUTCOME_TRY(this->control.Start());
     this->runtime.Every(kControlTick, [this] { this->control.Tick(); });
     this->runtime.OnDrain([this] {
+      this->observer.Record(EventKind::kProcessStopping);
       this->runtime.Every(kDrainPeriod, [this] { this->runtime.Stop(); });
     });
     for (IngressWorker& worker : this->workers) {
@@ -83,6 +94,7 @@
   void OnViews(const std::vector<const ServiceView*>& views) {
     for (const ServiceView* view : views) {
       if (!this->core.SetView(*view)) continue;
+      this->observer.ViewInEffect(*view);
       LogLine("service_in_effect")
           .Add("service", view->name)
           .Add("revision", view->revision.Value())
@@ -94,23 +106,30 @@
   void OnTunnel(IngressWorker& worker, std::string_view bytes) {
     Result<Encapsulated> tunnel = DecodeEncapsulated(bytes);
     if (!tunnel.has_value()) {
-      worker.drops.Count("bad_tunnel_packet", tunnel.error().message);
+      worker.drops.Count(DropReasonOf(tunnel.error()), "bad_tunnel_packet",
+                         tunnel.error().message);
       return;
     }
     Result<PacketInfo> packet = this->plugin.read(tunnel.value());
     if (!packet.has_value()) {
-      worker.drops.Count("bad_packet", packet.error().message);
+      worker.drops.Count(DropReasonOf(packet.error()), "bad_packet",
+                         packet.error().message);
       return;
     }
-    DropReason reason = DropReason::kUnknownService;
-    const auto decision = this->core.Route(packet.value().flow, &reason);
+    RouteDrop drop = RouteDrop::kUnknownService;
+    const auto decision = this->core.Route(packet.value().flow, &drop);
     if (!decision.has_value()) {
-      worker.drops.Count(reason == DropReason::kUnknownService
-                             ? "unknown_service"
-                             : "no_upstream",
-                         ToString(packet.value().flow.service));
+      const bool unknown = drop == RouteDrop::kUnknownService;
+      worker.drops.Count(
+          unknown ? DropReason::kUnknownService : DropReason::kNoUpstream,
+          unknown ? "unknown_service" : "no_upstream",
+          ToString(packet.value().flow.service), packet.value().flow);
       return;
     }
+    if (ServiceMetrics* metrics =
+            this->observer.FindService(decision->service.id)) {
+      metrics->PacketReceived();
+    }
     Forward forward;
     forward.service = decision->service;
     forward.packet = packet.value();
@@ -124,7 +143,7 @@
   void OnData(Endpoint from, std::string_view bytes) {
     Result<DataMessage> message = DecodeDataMessage(bytes);
     if (!message.has_value()) {
-      this->drops.Count("bad_data_message",
+      this->drops.Count(DropReasonOf(message.error()), "bad_data_message",
                         ToString(from) + ": " + message.error().message);
       return;
     }
@@ -133,11 +152,21 @@
     } else if (const auto* hint = std::get_if<OwnerHint>(&message.value())) {
       this->core.OnOwnerHint(*hint);
     } else {
-      this->drops.Count("unexpected_data_message", ToString(from));
+      this->drops.Count(DropReason::kUnmatched, "unexpected_data_message",
+                        ToString(from));
+    }
+  }
+
+  void CountAnswer(const FlowKey& flow) {
+    const auto route = this->core.Services().Find(flow.service);
+    if (route == nullptr) return;
+    if (ServiceMetrics* metrics = this->observer.FindService(route->view.id)) {
+      metrics->AnswerPacketSent();
     }
   }
 
   void OnReturn(Return answer) {
+    this->CountAnswer(answer.flow);
     if (!answer.refused) {
       this->data.Send(
           this->settings.ingress.fabric,
@@ -151,7 +180,8 @@
     const Result<Encapsulated> refusal =
         this->plugin.refuse(original, answer.refusal, answer.payload);
     if (!refusal.has_value()) {
-      this->drops.Count("unrendered_refusal", refusal.error().message);
+      this->drops.Count(DropReasonOf(refusal.error()), "unrendered_refusal",
+                        refusal.error().message, answer.flow);
       return;
     }
     this->data.Send(this->settings.ingress.fabric, Encode(refusal.value()));
@@ -160,6 +190,7 @@
   const Settings& settings;
   const IngressPlugin& plugin;
   Runtime runtime;
+  ProcessObserver observer;
   Balancer core;
   DatagramSocket data;
   DropLog drops;
--- a/src/daemon/control_client.cc
+++ b/src/daemon/control_client.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "cornelhill/base/hash.h"
-#include "cornelhill/base/log.h"
 #include "cornelhill/control/control_codec.h"
 #include "cornelhill/control/operator_session.h"
 
@@ -132,11 +131,7 @@
                               const std::string& bytes) {
   const Result<ControlMessage> message = DecodeControlMessage(bytes);
   if (!message.has_value()) {
-    LogLine("message_dropped")
-        .Warn()
-        .Add("reason", "bad_control_message")
-        .Add("from", member)
-        .Add("detail", message.error().message);
+    this->handlers.on_drop(member, message.error());
     return;
   }
   const Millis now = MonotonicNow();
--- a/src/daemon/control_role.cc
+++ b/src/daemon/control_role.cc
@@ -18,6 +18,7 @@
 #include "cornelhill/control/spread_node.h"
 #include "cornelhill/daemon/control_log.h"
 #include "cornelhill/daemon/message_node.h"
+#include "cornelhill/daemon/process_observer.h"
 #include "cornelhill/daemon/roles.h"
 #include "cornelhill/daemon/runtime.h"
 
@@ -89,6 +90,7 @@
       : settings(settings),
         self(Self(settings)),
         seed(RandomSeed()),
+        observer(runtime.Io(), settings),
         node(settings.member,
              {[this](const std::string& peer, std::string bytes) {
                 this->Post(peer, std::move(bytes), /*from_dealer=*/false);
@@ -96,6 +98,7 @@
               [this](const std::string& member, std::string bytes) {
                 this->Post(member, std::move(bytes), /*from_dealer=*/true);
               }}),
+        drops(observer),
         collector(MonotonicNow(), FailureDomainId(), IdOf(settings.member),
                   this->seed),
         spread(MonotonicNow(), MemberOf(settings, this->self),
@@ -108,6 +111,7 @@
   }
 
   Result<void> Run(bool bootstrap) {
+    BOOST_OUTCOME_TRY(this->observer.Start());
     BOOST_OUTCOME_TRY(this->OpenLog(bootstrap));
     BOOST_OUTCOME_TRY(this->node.Bind(this->self.address));
     for (const ControlMember& member : this->settings.control) {
@@ -119,6 +123,10 @@
     this->runtime.Every(kConfirmPeriod, [this] { this->ConfirmLeadership(); });
     this->runtime.Every(kMembershipPeriod, [this] { this->TendMembership(); });
     this->runtime.Every(kJoinPeriod, [this] { this->AskToJoin(); });
+    this->runtime.OnDrain([this] {
+      this->observer.Record(EventKind::kProcessStopping);
+      this->runtime.Stop();
+    });
     LogLine("control_started")
         .Add("address", ToString(this->self.address))
         .Add("joining", this->log == nullptr ? 1 : 0);
@@ -195,6 +203,12 @@
     }
   }
 
+  void RecordMember(EventDetail::Literal change, MemberId member) {
+    EventDetail detail;
+    detail.Add("change", change).Add("member", member.Value());
+    this->observer.Record(EventKind::kMemberChanged, detail);
+  }
+
   // A joining instance is known by its address and the token of its data
   // directory, so that a repeated request gets the same member id.
   static std::string JoinAddress(const JoinRequest& request) {
@@ -218,6 +232,7 @@
     const Result<ProposalId> added =
         this->log->ChangeMembership(MonotonicNow(), AddLearner{id, address});
     if (added.has_value()) {
+      this->RecordMember("learner_added", id);
       LogLine("learner_added")
           .Add("member", id.Value())
           .Add("name", request.name);
@@ -239,6 +254,7 @@
       if (member.member.voter || !member.caught_up) continue;
       if (this->log->ChangeMembership(now, PromoteLearner{member.member.id})
               .has_value()) {
+        this->RecordMember("learner_promoted", member.member.id);
         LogLine("learner_promoted").Add("member", member.member.id.Value());
       }
       return;
@@ -251,6 +267,7 @@
         }
         if (this->log->ChangeMembership(now, RemoveMember{old.id})
                 .has_value()) {
+          this->RecordMember("replaced_member_removed", old.id);
           LogLine("replaced_member_removed").Add("member", old.id.Value());
         }
         return;
@@ -265,7 +282,8 @@
                                            from_dealer] {
       Result<ControlMessage> message = DecodeControlMessage(bytes);
       if (!message.has_value()) {
-        this->drops.Count("bad_control_message", message.error().message);
+        this->drops.Count(DropReasonOf(message.error()), "bad_control_message",
+                          message.error().message);
         return;
       }
       this->OnMessage(peer, message.value(), from_dealer);
@@ -346,7 +364,8 @@
   void OnConsensus(Millis now, const std::string& bytes) {
     Result<ConsensusMessage> message = DecodeConsensusMessage(bytes);
     if (!message.has_value()) {
-      this->drops.Count("bad_consensus_message", message.error().message);
+      this->drops.Count(DropReasonOf(message.error()), "bad_consensus_message",
+                        message.error().message);
       return;
     }
     if (message.value().to != this->log->Status(now).self) return;
@@ -356,6 +375,7 @@
   // Leading.
 
   void OnRole(const RoleChange& change) {
+    this->RecordRole(change);
     LogLine("role_changed")
         .Add("role", ToString(change.role))
         .Add("term", change.term.Value())
@@ -365,6 +385,16 @@
     this->leases.reset();
   }
 
+  void RecordRole(const RoleChange& change) {
+    const bool leads = change.role == ReplicaRole::kLeader;
+    if (leads == this->leading) return;
+    EventDetail detail;
+    detail.Add("term", change.term.Value())
+        .Add("leader", change.leader.Value());
+    this->observer.Record(
+        leads ? EventKind::kLeaderElected : EventKind::kLeaderLost, detail);
+  }
+
   // A learner hears of the leader before it has the membership that says where
   // the leader is, so this is looked up again and again.
   void FollowLeader(Millis now) {
@@ -411,6 +441,7 @@
 
   void OnApplied(const Command& command, const CommandResponse& response) {
     if (response.outcome == CommandOutcome::kUnchanged) return;
+    this->RecordCommand(command, response);
     LogLine("command_applied")
         .Add("revision", response.revision.Value())
         .Add("outcome", static_cast<int>(response.outcome))
@@ -419,6 +450,45 @@
     this->publish_due = true;
   }
 
+  void RecordCommand(const Command& command, const CommandResponse& response) {
+    Event committed;
+    committed.kind = EventKind::kRevisionCommitted;
+    committed.revision = response.revision;
+    committed.detail.Add("outcome", static_cast<int>(response.outcome));
+    Event change = committed;
+    if (std::holds_alternative<PutDeclaration>(command.body)) {
+      committed.detail.Add("command", "put_declaration");
+    } else if (const auto* join = std::get_if<UpstreamJoin>(&command.body)) {
+      change.kind = EventKind::kUpstreamJoined;
+      change.upstream = join->announcement.instance;
+      change.detail.Add("agent", join->announcement.agent)
+          .Add("slots", join->announcement.slots);
+    } else if (const auto* leave = std::get_if<UpstreamLeave>(&command.body)) {
+      change.kind = EventKind::kUpstreamLeft;
+      change.upstream = leave->instance;
+      change.detail.Add("lost", leave->lost);
+    } else if (const auto* drain = std::get_if<UpstreamDrain>(&command.body)) {
+      // The end of a drain gives the upstream its weight back.
+      change.kind = drain->draining ? EventKind::kUpstreamDraining
+                                    : EventKind::kUpstreamReweighted;
+      change.upstream = drain->instance;
+    } else if (const auto* weight =
+                   std::get_if<UpstreamWeight>(&command.body)) {
+      change.kind = EventKind::kUpstreamReweighted;
+      change.upstream = weight->instance;
+      change.detail.Add("weight", weight->weight);
+    } else {
+      committed.detail.Add("command", "forget_lost");
+    }
+    committed.upstream = change.upstream;
+    this->observer.Record(committed);
+    const bool applied = response.outcome == CommandOutcome::kApplied;
+    if (applied && change.kind != EventKind::kRevisionCommitted) {
+      this->observer.Record(change);
+    }
+    this->observer.SetRevision(response.revision);
+  }
+
   void Tick() {
     if (this->log == nullptr) return;
     const Millis now = MonotonicNow();
@@ -543,6 +613,7 @@
   const ControlMember& self;
   uint64_t seed;
   Runtime runtime;
+  ProcessObserver observer;
   MessageNode node;
   DropLog drops;
   PeerTable peers;
--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -68,18 +68,27 @@
 
 void Runtime::Run() { this->io.run(); }
 
-void DropLog::Count(const std::string& reason, const std::string& detail) {
+void DropLog::Count(DropReason reason, const std::string& name,
+                    const std::string& detail, const FlowKey& flow) {
   ++this->total;
-  Reason& entry = this->reasons[reason];
+  this->observer.CountDrop(reason);
+  Window& entry = this->windows[name];
   ++entry.since_last_line;
   const Millis now = MonotonicNow();
   if (now - entry.last_line < kDropLinePeriod) return;
   LogLine("message_dropped")
       .Warn()
-      .Add("reason", reason)
+      .Add("reason", name)
       .Add("count", entry.since_last_line)
       .Add("detail", detail);
-  entry = Reason{0, now};
+  // The event has no `detail`: an error's text may quote what was received.
+  Event event;
+  event.kind = EventKind::kPacketDropped;
+  event.flow = flow;
+  AddReason(reason, &event.detail);
+  event.detail.Add("count", entry.since_last_line);
+  this->observer.Record(std::move(event));
+  entry = Window{0, now};
 }
 
 }  // namespace cornelhill
