--- a/include/cornelhill/ctl/subcommand.h
+++ b/include/cornelhill/ctl/subcommand.h
@@ -18,7 +18,7 @@
   kDifferences = 1,  // `diff` only.
   kUsage = 2,
   kRefused = 3,      // A file or a request is not accepted.
-  kUnavailable = 4,  // Control cannot be reached or cannot confirm.
+  kUnavailable = 4,  // Control or processes cannot be reached.
   kIo = 5,           // A file cannot be read or written.
 };
 
--- a/src/ctl/tool.cc
+++ b/src/ctl/tool.cc
@@ -21,7 +21,7 @@
     "  1  diff: the declarations differ\n"
     "  2  wrong usage\n"
     "  3  a file or a request is not accepted\n"
-    "  4  control cannot be reached or cannot confirm\n"
+    "  4  control or processes cannot be reached, or control cannot confirm\n"
     "  5  a file cannot be read or written\n";
 
 std::string Padded(std::string text, size_t width) {
