--- a/include/cornelhill/agent/flow_table.h
+++ b/include/cornelhill/agent/flow_table.h
@@ -52,6 +52,7 @@
   bool upstream_closed = false;
   bool refused = false;  // The latest request; its late packets go nowhere.
   Endpoint balancer;     // Forwarded the newest packet; answers go there.
+  Millis accepted;
   Millis last_active;
   std::unique_ptr<FlowBuffer> buffer;  // Null while idle.
 };
--- a/include/cornelhill/agent/home_buckets.h
+++ b/include/cornelhill/agent/home_buckets.h
@@ -51,6 +51,7 @@
 
   // Whether a resent first packet may have been seen by a lost agent.
   bool InQuarantine(Millis now, BucketIndex bucket) const;
+  size_t QuarantinedCount(Millis now) const;
 
   // Whether the network may still deliver a second copy, not marked as resent,
   // of a packet that a lost agent has seen.
--- a/src/agent/agent_home.cc
+++ b/src/agent/agent_home.cc
@@ -342,7 +342,9 @@
     this->directory.Record(now, {entry.flow, entry.nonce}, entry.owner,
                            entry.owner_incarnation, entry.closed);
   }
-  if (this->homes.OnReply(reply)) this->ReplayHeld(now, out);
+  if (!this->homes.OnReply(reply)) return;
+  out->events.push_back({AgentEventKind::kDirectoryGathered, {}, {}});
+  this->ReplayHeld(now, out);
 }
 
 void Agent::SendQueries(Millis now, AgentOutput* out) {
--- a/src/agent/home_buckets.cc
+++ b/src/agent/home_buckets.cc
@@ -126,6 +126,14 @@
   return now < this->buckets[bucket.Value()].copies_until;
 }
 
+size_t HomeBuckets::QuarantinedCount(Millis now) const {
+  return static_cast<size_t>(
+      std::count_if(this->buckets.begin(), this->buckets.end(),
+                    [now](const BucketState& state) {
+                      return state.home && now < state.quarantine_until;
+                    }));
+}
+
 const BucketFence* HomeBuckets::FenceOf(BucketIndex bucket) const {
   const BucketFence& fence = this->buckets[bucket.Value()].fence;
   return fence.revision > this->revision ? &fence : nullptr;
--- a/tests/daemon/tcp_path_test.cc
+++ b/tests/daemon/tcp_path_test.cc
@@ -92,7 +92,7 @@
     const Encapsulated packet{flow, std::move(bytes)};
     const Result<PacketInfo> info = this->ingress.read(packet);
     cr_assert(info.has_value());
-    DropReason drop = DropReason::kNoUpstream;
+    RouteDrop drop = RouteDrop::kNoUpstream;
     const auto decision = this->balancers[balancer].Route(flow, &drop);
     cr_assert(decision.has_value());
     Forward forward;
--- a/tests/support/pool.cc
+++ b/tests/support/pool.cc
@@ -340,7 +340,7 @@
                        std::move(message));
     return;
   }
-  DropReason reason = DropReason::kUnknownService;
+  RouteDrop reason = RouteDrop::kUnknownService;
   const auto decision = process.core->Route(forward->packet.flow, &reason);
   if (!decision.has_value()) return;
   forward->service = decision->service;
