--- a/include/cornelhill/turn/turn_scheduler.h
+++ b/include/cornelhill/turn/turn_scheduler.h
@@ -30,6 +30,7 @@
 // short requests against 25: new callers' long work had filled the reserve.
 enum class UnprovenSlots : uint8_t {
   kUnreserved,  // Only in slots that long work may hold.
+  kMeasured,    // In any slot while few such requests have turned out long.
   kAny,         // In any slot.
 };
 
@@ -117,6 +118,10 @@
   // The class that the request would be queued as.
   WorkClass ClassOf(const TurnRequest& request) const;
 
+  // Whether the request is known to be short, or nothing is known of it but
+  // hardly any such request has turned out long.
+  bool LikelyShort(const TurnRequest& request) const;
+
   // Running requests that have shown to be of a class.
   size_t RunningCount(WorkClass work_class) const;
 
@@ -139,6 +144,7 @@
     int64_t charged = 0;
     Lane lane = Lane::kShort;
     WorkClass work_class = WorkClass::kShort;
+    bool unproven = false;
     bool learned = false;   // Its class was learned while it ran.
     bool reported = false;  // Returned by `Overrun`.
   };
@@ -202,6 +208,10 @@
   uint64_t arrivals = 0;
   // Slot time that long work is owed, in microseconds.
   int64_t long_owed = 0;
+  // Share of unproven work that turned out long, in thousandths, for
+  // non-repeatable and repeatable work: streams would otherwise make answers
+  // look unsafe. Starts at one half: nothing is known.
+  std::array<int32_t, 2> unproven_long_permille = {500, 500};
 };
 
 }  // namespace cornelhill
--- a/src/turn/turn_scheduler.cc
+++ b/src/turn/turn_scheduler.cc
@@ -7,6 +7,10 @@
 
 namespace {
 
+// Work without history counts as likely short while at most this share of it,
+// in thousandths, has turned out long.
+constexpr int32_t kSafeUnprovenPermille = 50;
+
 constexpr size_t Index(WorkClass work_class) {
   return static_cast<size_t>(work_class);
 }
@@ -124,8 +128,11 @@
   if (work_class == WorkClass::kLong) return Lane::kLong;
   if (work_class == WorkClass::kStraggler) return Lane::kStraggler;
   if (!unproven || request.repeatable) return Lane::kShort;
-  return this->config.unproven == UnprovenSlots::kAny ? Lane::kShort
-                                                      : Lane::kUnproven;
+  const bool free = this->config.unproven == UnprovenSlots::kAny ||
+                    (this->config.unproven == UnprovenSlots::kMeasured &&
+                     this->unproven_long_permille[request.repeatable] <=
+                         kSafeUnprovenPermille);
+  return free ? Lane::kShort : Lane::kUnproven;
 }
 
 TurnScheduler::Placement TurnScheduler::Place(
@@ -151,6 +158,13 @@
   return this->Place(request).work_class;
 }
 
+bool TurnScheduler::LikelyShort(const TurnRequest& request) const {
+  const Placement place = this->Place(request);
+  return place.work_class == WorkClass::kShort &&
+         (!place.unproven || this->unproven_long_permille[request.repeatable] <=
+                                 kSafeUnprovenPermille);
+}
+
 int64_t TurnScheduler::ExpectedMicros(WorkClass work_class) const {
   const TurnRules& rules = this->config.rules;
   const ServiceTime& measured = this->service_times[Index(work_class)];
@@ -290,6 +304,7 @@
   queued.busy_when_queued = static_cast<uint32_t>(this->running.size());
   queued.lane = place.lane;
   queued.work_class = place.work_class;
+  queued.unproven = place.unproven;
   ++caller.queued;
   this->Insert(queued);
   return std::nullopt;
@@ -360,8 +375,8 @@
   this->starts.Add(decision);
 
   const RequestKey key = next.request.key;
-  this->running.emplace(
-      key, Running{next.request, now, cost, next.lane, next.work_class});
+  this->running.emplace(key, Running{next.request, now, cost, next.lane,
+                                     next.work_class, next.unproven});
   ++caller.running;
   this->Erase(next);
   return key;
@@ -379,6 +394,11 @@
 }
 
 void TurnScheduler::DemoteOne(Running& running, WorkClass work_class) {
+  if (running.work_class == WorkClass::kShort && running.unproven) {
+    int32_t& permille =
+        this->unproven_long_permille[running.request.repeatable];
+    permille += (1000 - permille) / 8;
+  }
   running.work_class = work_class;
   running.learned = true;
   this->memory.Learn(running.request.key, running.request.caller, work_class);
@@ -418,6 +438,7 @@
   this->by_deadline.erase(&queued);
   queued.work_class = WorkClass::kLong;
   queued.lane = Lane::kLong;
+  queued.unproven = false;
   this->Insert(queued);
 }
 
@@ -451,6 +472,11 @@
   if (!running.learned) {
     this->memory.Learn(key, running.request.caller, attained);
   }
+  if (running.unproven && attained == WorkClass::kShort) {
+    int32_t& permille =
+        this->unproven_long_permille[running.request.repeatable];
+    permille -= (permille + 7) / 8;
+  }
   this->service_times[Index(attained)].Add(used);
   this->ramp.OnFinish(used, this->config.rules.short_quantum);
   this->EndRunning(now, running);
