--- a/src/daemon/agent_observer.cc
+++ b/src/daemon/agent_observer.cc
@@ -79,6 +79,9 @@
 }  // namespace
 
 void AgentObserver::OnView(Millis now, const ServiceView& view) {
+  // The agent ignores a view that it has; control reports all views when one
+  // of them changes.
+  if (view.id == this->service && view.revision <= this->revision) return;
   this->service = view.id;
   this->revision = view.revision;
   this->observer.ViewInEffect(view);
--- a/tests/daemon/agent_observer_test.cc
+++ b/tests/daemon/agent_observer_test.cc
@@ -161,6 +161,13 @@
                    "reason=unmatched cause=wrong_incarnation count=100");
 }
 
+// Guards against a view that is listed again although the agent ignores it.
+Test(agent_observer, records_a_view_once) {
+  Process process;
+  process.SetView();
+  ExpectNames(process.Names({}), "revision_applied ");
+}
+
 // Guards against a lost lease, a new incarnation or a drain that the timeline
 // does not show, and against a lease event at the start of the process.
 Test(agent_observer, records_lease_and_drain) {
