Ignore a caller's expired timer whose handler runs too late

The timeline of the broken flow shows request 1 answered at 07:48:13.336 and, in the same millisecond, packets of request 2 without the first mark dropped as unknown_flow until the timeout. The caller's resend timer had expired when the answer arrived, so that setting the timer anew did not cancel its queued handler: it resent the next request number and replaced the pause before the next request. Ruled out: the agents; request 1 ran and was answered in time, and the owner was known throughout.

--- a/tools/caller/caller.cc
+++ b/tools/caller/caller.cc
@@ -91,8 +91,11 @@
   template <typename Action>
   void After(Millis delay, Action action) {
     this->timer.expires_after(std::chrono::milliseconds(delay.Count()));
-    this->timer.async_wait([action](const ErrorCodeAsio& error) {
-      if (!error) action();
+    // A timer that has expired can no longer be cancelled: its handler may be
+    // queued behind the packet that makes it obsolete.
+    const uint64_t wait = ++this->waits;
+    this->timer.async_wait([this, action, wait](const ErrorCodeAsio& error) {
+      if (!error && wait == this->waits) action();
     });
   }
 
@@ -243,6 +246,7 @@
   }
 
   void Stop() {
+    ++this->waits;
     this->timer.cancel();
     this->socket.close();
   }
@@ -254,6 +258,7 @@
   Random random;
   Totals* totals;
   FlowNonce nonce;
+  uint64_t waits = 0;  // Counts the uses of `timer`.
   uint32_t request = 0;
   uint32_t done_requests = 0;
   uint32_t tries = 0;
