--- a/tests/agent/pool_test.cc
+++ b/tests/agent/pool_test.cc
@@ -231,6 +231,23 @@
   }
 }
 
+// Guards against the return of faults that only seeds beyond the normal run
+// have found: a copy in transit that a restarted agent ran again (306), and a
+// request that was run again after its owner restarted (186).
+Test(pool, seeds_that_found_faults) {
+  for (const uint64_t seed : {uint64_t{186}, uint64_t{306}}) {
+    PoolConfig config = ConfigOf(seed);
+    config.resend_for = Millis(seed % 2 == 0 ? 3000 : 3600);
+    for (const bool changes : {false, true}) {
+      TestPool pool(config);
+      AddFlows(pool, 2, seed);
+      if (changes) PlanChanges(pool, seed);
+      PlanFaults(pool, seed);
+      CheckPool(pool, "found", seed);
+    }
+  }
+}
+
 // Guards against a packet that reaches another service when an instance is
 // reused for it at the same address while balancers still have the old view.
 Test(pool, reused_instance_serves_only_its_new_service) {
