--- a/bench/balancer_bench.cc
+++ b/bench/balancer_bench.cc
@@ -61,7 +61,7 @@
   uint16_t flow = 0;
   const uint64_t before = allocations;
   for (auto _ : state) {
-    DropReason reason = DropReason::kUnknownService;
+    RouteDrop reason = RouteDrop::kUnknownService;
     benchmark::DoNotOptimize(balancer.Route(KeyOf(flow), &reason));
     flow = static_cast<uint16_t>((flow + 1) % kFlows);
   }
