Stop asking for a drain once control has accepted it

Cause: a draining agent repeated its request every 500 ms until its own view showed the drain, and each repetition was an entry of the replicated log: 7 entries for one drain in a run with one agent. Ruled out: the lease table, whose proposals were one join and one leave. After: the answer of control ends the repetition; the same run takes 6 revisions in all (2 of them the election and the declaration), one for the drain.

--- a/include/cornelhill/daemon/control_client.h
+++ b/include/cornelhill/daemon/control_client.h
@@ -40,8 +40,10 @@
   // Sends what is due; call every `kControlTick`.
   void Tick();
 
-  // Asks control to drain this agent's upstream. Repeat until a view says so.
+  // Asks control to drain this agent's upstream. Repeat until `DrainAccepted`:
+  // each repetition is an entry of the replicated log.
   void RequestDrain();
+  bool DrainAccepted() const { return this->drain_accepted; }
 
   // Tells control that this agent leaves. Repeat until `HasLeft`.
   void Leave();
@@ -57,6 +59,7 @@
   void OnMessage(const std::string& member, const std::string& bytes);
   void Carry(const std::vector<Outgoing>& messages);
   void ReportChange();
+  std::string DrainRequestId() const;
 
   boost::asio::io_context& io;
   const Settings& settings;
@@ -65,6 +68,7 @@
   SpreadNode spread;
   std::optional<AgentLease> lease;
   Revision reported;
+  bool drain_accepted = false;
 };
 
 constexpr Millis kControlTick = Millis(50);
--- a/src/daemon/agent_role.cc
+++ b/src/daemon/agent_role.cc
@@ -97,7 +97,7 @@
       this->core.Drain();
       this->control.RequestDrain();
       this->runtime.Every(kDrainRequestPeriod, [this] {
-        if (!this->drain_in_effect) this->control.RequestDrain();
+        if (!this->control.DrainAccepted()) this->control.RequestDrain();
       });
     });
     LogLine("agent_started")
@@ -112,7 +112,6 @@
  private:
   void OnViews(const std::vector<const ServiceView*>& views) {
     for (const ServiceView* view : views) {
-      this->drain_in_effect = this->drain_in_effect || IsDraining(*view);
       AgentOutput out;
       const Millis now = MonotonicNow();
       this->core.SetView(now, *view, &out);
@@ -149,15 +148,6 @@
         .Add("pipelined", counters.dropped_pipelined);
   }
 
-  bool IsDraining(const ServiceView& view) const {
-    for (const UpstreamInfo& upstream : view.upstreams) {
-      if (upstream.instance == this->settings.instance_id) {
-        return upstream.draining;
-      }
-    }
-    return false;
-  }
-
   // The decisions follow the lease: they may use it for the next ticks, and a
   // new incarnation starts with nothing gathered.
   void FollowLease() {
@@ -277,7 +267,6 @@
   ControlClient control;
   std::optional<Millis> idle_since;
   Millis next_leave;
-  bool drain_in_effect = false;
 };
 
 }  // namespace
--- a/src/daemon/control_client.cc
+++ b/src/daemon/control_client.cc
@@ -105,9 +105,7 @@
 
 void ControlClient::RequestDrain() {
   OperatorRequest request = DrainRequest(this->settings.instance_id, true);
-  request.request_id = "drain-" +
-                       std::to_string(this->settings.instance_id.Value()) +
-                       "-" + std::to_string(this->CurrentIncarnation().Value());
+  request.request_id = this->DrainRequestId();
   request.operator_name = this->settings.instance;
   const std::string bytes = Encode(ControlMessage(request));
   for (const ControlMember& member : this->settings.control) {
@@ -115,6 +113,11 @@
   }
 }
 
+std::string ControlClient::DrainRequestId() const {
+  return "drain-" + std::to_string(this->settings.instance_id.Value()) + "-" +
+         std::to_string(this->CurrentIncarnation().Value());
+}
+
 void ControlClient::Leave() { this->Carry(this->lease->Leave(MonotonicNow())); }
 
 bool ControlClient::HasLeft() const { return this->lease->HasLeft(); }
@@ -139,6 +142,15 @@
     if (this->lease.has_value()) this->lease->OnAck(now, *ack);
     return;
   }
+  if (const auto* response = std::get_if<OperatorResponse>(&message.value())) {
+    const bool done = response->outcome == OperatorOutcome::kOk ||
+                      response->outcome == OperatorOutcome::kUnchanged;
+    if (done && this->lease.has_value() &&
+        response->request_id == this->DrainRequestId()) {
+      this->drain_accepted = true;
+    }
+    return;
+  }
   for (const ControlMember& known : this->settings.control) {
     if (known.name != member) continue;
     this->Carry(this->spread.OnMessage(now, known.address, message.value()));
