Convert addresses and flow keys for the wire in one place

Cause: the codecs of data, inspection, time line and control messages each had their own conversion of Endpoint and FlowKey, and two files of the daemon their own random seed.

--- a/include/cornelhill/base/random.h
+++ b/include/cornelhill/base/random.h
@@ -33,4 +33,8 @@
   pcg64 engine;
 };
 
+// Returns a seed that differs between processes. Thread-safe. Only the daemon's
+// runtime and the tools call it.
+uint64_t RandomSeed();
+
 }  // namespace cornelhill
--- a/src/control/control_proto.cc
+++ b/src/control/control_proto.cc
@@ -33,18 +33,6 @@
   return boost::outcome_v2::success();
 }
 
-void ToProto(const Endpoint& in, pb::Endpoint* out) {
-  out->set_address(in.address);
-  out->set_port(in.port);
-}
-
-Result<Endpoint> FromProto(const pb::Endpoint& in) {
-  if (in.port() > std::numeric_limits<uint16_t>::max()) {
-    return Malformed("port is larger than 65535");
-  }
-  return Endpoint{in.address(), static_cast<uint16_t>(in.port())};
-}
-
 void ToProto(const TurnRules& in, pb::TurnRules* out) {
   out->set_short_quantum_ms(static_cast<uint32_t>(in.short_quantum.Count()));
   out->set_short_bytes(in.short_bytes);
--- a/src/control/control_proto.h
+++ b/src/control/control_proto.h
@@ -7,6 +7,7 @@
 #include "cornelhill/control/command.h"
 #include "cornelhill/control/control_messages.h"
 #include "cornelhill/control/service_change.h"
+#include "wire/flow_proto.h"
 
 namespace cornelhill {
 
@@ -15,7 +16,6 @@
 Error Malformed(const std::string& what);
 Result<void> CheckText(const std::string& text, size_t limit, const char* what);
 
-void ToProto(const Endpoint& in, pb::Endpoint* out);
 void ToProto(const TurnRules& in, pb::TurnRules* out);
 void ToProto(const Declaration& in, pb::Declaration* out);
 void ToProto(const ServiceDeclaration& in, pb::ServiceDeclaration* out);
@@ -26,7 +26,6 @@
 void ToProto(const ServiceChange& in, pb::ServiceChange* out);
 void ToProto(const HistoryEntry& in, pb::HistoryEntry* out);
 
-Result<Endpoint> FromProto(const pb::Endpoint& in);
 Result<TurnRules> FromProto(const pb::TurnRules& in);
 Result<Declaration> FromProto(const pb::Declaration& in);
 Result<ServiceDeclaration> FromProto(const pb::ServiceDeclaration& in);
--- a/src/daemon/control_client.cc
+++ b/src/daemon/control_client.cc
@@ -1,7 +1,6 @@
 #include "cornelhill/daemon/control_client.h"
 
 #include <boost/asio/post.hpp>
-#include <random>
 #include <utility>
 
 #include "cornelhill/base/hash.h"
@@ -12,11 +11,6 @@
 
 namespace {
 
-uint64_t RandomSeed() {
-  std::random_device device;
-  return uint64_t{device()} << 32 | device();
-}
-
 SpreadMember SelfMember(const Settings& settings) {
   SpreadMember self;
   self.id = settings.instance_id;
--- a/src/daemon/control_role.cc
+++ b/src/daemon/control_role.cc
@@ -3,13 +3,13 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "cornelhill/base/hash.h"
 #include "cornelhill/base/log.h"
+#include "cornelhill/base/random.h"
 #include "cornelhill/consensus/consensus_codec.h"
 #include "cornelhill/control/control_codec.h"
 #include "cornelhill/control/domain_collector.h"
@@ -61,11 +61,6 @@
   std::map<Endpoint, std::string> by_endpoint;
 };
 
-uint64_t RandomSeed() {
-  std::random_device device;
-  return uint64_t{device()} << 32 | device();
-}
-
 InstanceId IdOf(const std::string& name) { return InstanceId(Hash64(name)); }
 
 SpreadMember MemberOf(const Settings& settings, const ControlMember& member) {
--- a/src/observe/inspect_codec.cc
+++ b/src/observe/inspect_codec.cc
@@ -8,11 +8,15 @@
 #include "cornelhill/turn/explain_decision.h"
 #include "cornelhill/wire/data_codec.h"
 #include "inspect.pb.h"
+#include "wire/flow_proto.h"
 
 namespace cornelhill {
 
 namespace {
 
+using cornelhill::FromProto;
+using cornelhill::ToProto;
+
 constexpr uint64_t kMaxMillis = std::numeric_limits<int64_t>::max();
 
 Error Malformed(const std::string& what) {
@@ -35,34 +39,6 @@
          IsPrintable(name);
 }
 
-void ToProto(const Endpoint& endpoint, pb::Endpoint* out) {
-  out->set_address(endpoint.address);
-  out->set_port(endpoint.port);
-}
-
-void ToProto(const FlowKey& key, pb::FlowKey* out) {
-  ToProto(key.caller, out->mutable_caller());
-  ToProto(key.service, out->mutable_service());
-  out->set_protocol(static_cast<uint32_t>(key.protocol));
-}
-
-Result<Endpoint> FromProto(const pb::Endpoint& in) {
-  if (in.port() > std::numeric_limits<uint16_t>::max()) {
-    return Malformed("port is larger than 65535");
-  }
-  return Endpoint{in.address(), static_cast<uint16_t>(in.port())};
-}
-
-Result<FlowKey> FromProto(const pb::FlowKey& in) {
-  BOOST_OUTCOME_TRY(caller, FromProto(in.caller()));
-  BOOST_OUTCOME_TRY(service, FromProto(in.service()));
-  if (in.protocol() != static_cast<uint32_t>(Protocol::kTcp) &&
-      in.protocol() != static_cast<uint32_t>(Protocol::kUdp)) {
-    return Malformed("flow protocol is neither TCP nor UDP");
-  }
-  return FlowKey{caller, service, static_cast<Protocol>(in.protocol())};
-}
-
 Result<WorkClass> ReadWorkClass(uint32_t value) {
   if (value > static_cast<uint32_t>(WorkClass::kStraggler)) {
     return Malformed("work class " + std::to_string(value) + " is unknown");
--- a/src/wire/data_codec.cc
+++ b/src/wire/data_codec.cc
@@ -4,51 +4,27 @@
 #include <utility>
 
 #include "data.pb.h"
+#include "wire/flow_proto.h"
 
 namespace cornelhill {
 
 namespace {
 
+using cornelhill::FromProto;
+using cornelhill::ToProto;
+
 constexpr uint32_t kMaxHops = 255;
 
 Error Malformed(const std::string& what) {
   return Error{ErrorCode::kMalformed, what};
 }
 
-void ToProto(const Endpoint& endpoint, pb::Endpoint* out) {
-  out->set_address(endpoint.address);
-  out->set_port(endpoint.port);
-}
-
-void ToProto(const FlowKey& key, pb::FlowKey* out) {
-  ToProto(key.caller, out->mutable_caller());
-  ToProto(key.service, out->mutable_service());
-  out->set_protocol(static_cast<uint32_t>(key.protocol));
-}
-
 void ToProto(const Refusal& refusal, pb::Refusal* out) {
   out->set_verdict(static_cast<uint32_t>(refusal.verdict));
   out->set_reason(static_cast<uint32_t>(refusal.reason));
   out->set_retry_after_ms(static_cast<uint32_t>(refusal.retry_after.Count()));
 }
 
-Result<Endpoint> FromProto(const pb::Endpoint& in) {
-  if (in.port() > std::numeric_limits<uint16_t>::max()) {
-    return Malformed("port is larger than 65535");
-  }
-  return Endpoint{in.address(), static_cast<uint16_t>(in.port())};
-}
-
-Result<FlowKey> FromProto(const pb::FlowKey& in) {
-  BOOST_OUTCOME_TRY(caller, FromProto(in.caller()));
-  BOOST_OUTCOME_TRY(service, FromProto(in.service()));
-  if (in.protocol() != static_cast<uint32_t>(Protocol::kTcp) &&
-      in.protocol() != static_cast<uint32_t>(Protocol::kUdp)) {
-    return Malformed("flow protocol is neither TCP nor UDP");
-  }
-  return FlowKey{caller, service, static_cast<Protocol>(in.protocol())};
-}
-
 Result<Refusal> FromProto(const pb::Refusal& in) {
   if (in.verdict() > static_cast<uint32_t>(Verdict::kRan)) {
     return Malformed("refusal has an unknown verdict");
