Decide once what a new flow's request is

Cause: the home agent built the turn request of each new flow twice and asked twice whether it is likely short, and the refusal of a draining agent stood in two functions.

--- a/include/cornelhill/agent/agent.h
+++ b/include/cornelhill/agent/agent.h
@@ -179,6 +179,8 @@
   void OnLostOwner(Millis now, Forward forward, AgentOutput* out);
   void OnHandBack(Millis now, Forward forward, AgentOutput* out);
   void DecideOffer(Millis now, Forward forward, AgentOutput* out);
+  // Takes the flow that no other agent took.
+  void AcceptUnlessDraining(Millis now, Forward forward, AgentOutput* out);
   void Offer(Millis now, const UpstreamInfo& to, ForwardRoute kind,
              uint32_t load_milli, Forward forward, AgentOutput* out);
   void HandBack(Millis now, Forward forward, AgentOutput* out);
--- a/src/agent/agent_home.cc
+++ b/src/agent/agent_home.cc
@@ -149,11 +149,11 @@
 
 void Agent::DecideNewFlow(Millis now, Forward forward, AgentOutput* out) {
   const UpstreamInfo* second = this->SecondOf(forward.packet.flow);
-  const bool busy = this->draining || !this->scheduler.WouldStart(
-                                          this->TurnRequestFor(now, forward));
   const TurnRequest request = this->TurnRequestFor(now, forward);
+  const bool busy = this->draining || !this->scheduler.WouldStart(request);
+  const bool likely_short = this->scheduler.LikelyShort(request);
   const UpstreamInfo* reserve = this->ReserveOf(forward.packet.flow, 0);
-  if (busy && reserve != nullptr && this->scheduler.LikelyShort(request)) {
+  if (busy && reserve != nullptr && likely_short) {
     ++this->counters.passed_to_second;
     this->Offer(now, *reserve, ForwardRoute::kOfferReserve, 0,
                 std::move(forward), out);
@@ -161,14 +161,19 @@
   }
   // Long work stays with its upstream, so it is worth a hop to start it at the
   // less loaded of two even where it would start here.
-  const bool better_spread = !this->scheduler.LikelyShort(request) &&
-                             this->scheduler.RunningCount() > 0;
+  const bool better_spread =
+      !likely_short && this->scheduler.RunningCount() > 0;
   if ((busy || better_spread) && second != nullptr) {
     ++this->counters.passed_to_second;
     this->Offer(now, *second, ForwardRoute::kOffer, this->OfferedLoad(),
                 std::move(forward), out);
     return;
   }
+  this->AcceptUnlessDraining(now, std::move(forward), out);
+}
+
+void Agent::AcceptUnlessDraining(Millis now, Forward forward,
+                                 AgentOutput* out) {
   if (this->draining) {
     this->Refuse(now, KeyOf(forward.packet), forward.balancer,
                  {Verdict::kNotRun, Reason::kDraining, Millis()},
@@ -276,13 +281,7 @@
       return;
     }
   }
-  if (this->draining) {
-    this->Refuse(now, KeyOf(forward.packet), forward.balancer,
-                 {Verdict::kNotRun, Reason::kDraining, Millis()},
-                 std::move(forward.payload), out);
-    return;
-  }
-  this->Accept(now, std::move(forward), out);
+  this->AcceptUnlessDraining(now, std::move(forward), out);
 }
 
 void Agent::PassOn(const UpstreamInfo& to, ForwardRoute kind, Forward forward,
