--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -3,12 +3,15 @@
     # g++ 12 reports false positives for std::variant.
     -Wno-maybe-uninitialized)
 
-# Adds the library cornelhill_NAME from src/NAME/*.cc and, where tests/NAME
+# Adds the library cornelhill_NAME from src/NAME/*.cc, or the folder SOURCES, and, where tests/NAME
 # holds sources, its one test program test_NAME. WHOLE_ARCHIVE links all of the
 # library into its test program, for sources that only register themselves.
 function(cornelhill_library name)
-  cmake_parse_arguments(ARG "WHOLE_ARCHIVE" "" "LINK" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cc)
+  cmake_parse_arguments(ARG "WHOLE_ARCHIVE" "SOURCES" "LINK" ${ARGN})
+  if(NOT ARG_SOURCES)
+    set(ARG_SOURCES src/${name})
+  endif()
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${ARG_SOURCES}/*.cc)
   set(target cornelhill_${name})
   if(sources)
     add_library(${target} STATIC ${sources})
@@ -24,7 +27,7 @@
   endif()
 
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cc)
-  if(tests)
+  if(tests AND CORNELHILL_TESTS)
     add_executable(test_${name} ${tests})
     target_include_directories(test_${name} PRIVATE ${CMAKE_SOURCE_DIR})
     target_compile_options(test_${name} PRIVATE ${CORNELHILL_WARNINGS})
--- a/include/cornelhill/control/command.h
+++ b/include/cornelhill/control/command.h
@@ -15,6 +15,8 @@
 // Limits that the decoders and `ControlState` enforce.
 constexpr size_t kMaxNameBytes = 64;  // Services, applications, operators.
 constexpr size_t kMaxRequestIdBytes = 64;
+// Largest listener document.
+constexpr size_t kMaxListenerDocumentBytes = size_t{512} * 1024;
 constexpr uint32_t kMaxSlots = 65535;
 constexpr uint32_t kMaxWeight = 10000;
 
@@ -84,12 +86,22 @@
   bool operator==(const UpstreamWeight&) const = default;
 };
 
+// Replaces the listeners where `version` is above the one in effect; an equal
+// or lower version changes nothing. `document` is in the operator's format and
+// was checked before it was proposed.
+struct PutListeners {
+  uint64_t version = 0;
+  std::string document;
+
+  bool operator==(const PutListeners&) const = default;
+};
+
 // A change of the replicated state. `request_id` makes it idempotent.
 struct Command {
   std::string request_id;
   std::string operator_name;  // Empty for commands of the lease table.
   std::variant<PutDeclaration, UpstreamJoin, UpstreamLeave, UpstreamDrain,
-               UpstreamWeight, ForgetLost>
+               UpstreamWeight, ForgetLost, PutListeners>
       body;
 
   bool operator==(const Command&) const = default;
--- a/include/cornelhill/control/control_state.h
+++ b/include/cornelhill/control/control_state.h
@@ -86,6 +86,10 @@
     return this->lost;
   }
 
+  // The listener document with the highest version; version 0 where there is
+  // none yet.
+  const PutListeners& Listeners() const { return this->listeners; }
+
   const std::map<InstanceId, KnownUpstream>& Upstreams() const {
     return this->upstreams;
   }
@@ -138,6 +142,8 @@
                           const UpstreamDrain& drain);
   CommandResponse Execute(Revision revision, const Command& command,
                           const UpstreamWeight& weight);
+  CommandResponse Execute(Revision revision, const Command& command,
+                          const PutListeners& put);
   // Rebuilds the view of the service that declares `application`.
   void RefreshView(Revision revision, const std::string& application);
   void RefreshView(Revision revision, const Service& service);
@@ -158,6 +164,7 @@
   ServiceId last_service_id;
   Incarnation last_incarnation;
   ChangeRef declaration_change;
+  PutListeners listeners;
   ResponseRing operator_responses;
   ResponseRing membership_responses;
   std::deque<HistoryEntry> operator_history;    // The oldest first.
--- /dev/null
+++ b/include/cornelhill/daemon/core_link.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cornelhill/base/millis.h"
+#include "cornelhill/config/node_settings.h"
+#include "cornelhill/daemon/node_socket.h"
+#include "cornelhill/daemon/runtime.h"
+#include "cornelhill/segment/segment_messages.h"
+
+namespace cornelhill {
+
+// A balancer's or agent's connection to the core members: finds them from the
+// seeds, tells each what this process is, and takes what they know. Runs on
+// the thread of the event loop.
+class CoreLink {
+ public:
+  struct Handlers {
+    // Returns what to say of this process; the link fills in `directory`.
+    std::function<Hello()> hello;
+    std::function<void(const Update&)> on_update;
+  };
+
+  CoreLink(Runtime& runtime, const NodeSettings& settings, Handlers handlers);
+
+  void Start();
+
+  // Says it now instead of with the next period.
+  void SayHello();
+
+  // Whether a core member has answered lately.
+  bool Connected() const;
+
+ private:
+  struct Member {
+    std::string failure_domain;
+    Millis heard{-1000000};
+  };
+
+  void OnMessage(const NodeSocket::Peer& peer, const std::string& bytes);
+  void SetMembers(const std::vector<std::string>& texts);
+  bool AsksDirectory(const Endpoint& address, Millis now) const;
+  void LogConnection();
+
+  Runtime& runtime;
+  const NodeSettings& settings;
+  Handlers handlers;
+  NodeSocket socket;
+  std::map<Endpoint, Member> members;
+  bool connected = false;
+};
+
+}  // namespace cornelhill
--- a/include/cornelhill/daemon/datagram_socket.h
+++ b/include/cornelhill/daemon/datagram_socket.h
@@ -36,7 +36,9 @@
 
  private:
   void Receive();
+  void ReceiveBatch();
 
+  static constexpr int kBatch = 64;
   static constexpr int kBufferBytes = 4 * 1024 * 1024;
 
   boost::asio::ip::udp::socket socket;
--- /dev/null
+++ b/include/cornelhill/daemon/node_socket.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cornelhill/base/flow_key.h"
+#include "cornelhill/base/result.h"
+
+namespace cornelhill {
+
+// ZeroMQ sockets on the event loop of a process: a ROUTER that others connect
+// to, where bound, and one DEALER for each address that this process sends to.
+// Connections that go silent are replaced. All calls and handlers run on the
+// thread of the event loop.
+class NodeSocket {
+ public:
+  // Where a message came from: the routing id of a process that is connected to
+  // the ROUTER, or the address that this process is connected to.
+  struct Peer {
+    std::string routing_id;
+    std::optional<Endpoint> address;
+  };
+
+  using Handler = std::function<void(const Peer& peer, std::string bytes)>;
+
+  // `identity` is the routing id that other processes see; it differs between
+  // the processes of a deployment.
+  NodeSocket(boost::asio::io_context& io, std::string identity,
+             Handler handler);
+  ~NodeSocket();
+  NodeSocket(const NodeSocket&) = delete;
+  NodeSocket& operator=(const NodeSocket&) = delete;
+
+  // Binds the ROUTER. Call at most once.
+  Result<void> Bind(const Endpoint& address);
+
+  // Sends to the process that listens at `address`; connects where needed. The
+  // message is dropped while there is no connection.
+  void Send(const Endpoint& address, const std::string& bytes);
+
+  // Answers where a message came from; dropped where the peer is gone.
+  void Reply(const Peer& peer, const std::string& bytes);
+
+  // Closes the connections to addresses other than these.
+  void Keep(const std::function<bool(const Endpoint&)>& wanted);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace cornelhill
--- /dev/null
+++ b/include/cornelhill/segment/segment_agent.h
@@ -0,0 +1,187 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cornelhill/base/millis.h"
+#include "cornelhill/segment/segment.h"
+#include "cornelhill/segment/segment_messages.h"
+
+namespace cornelhill {
+
+struct SegmentAgentSettings {
+  Endpoint address;     // Of the agent's data socket.
+  std::string service;  // Name of the service that its upstream belongs to.
+  std::string failure_domain;
+  SegmentFormat format;
+  // A flow older than this need not be found again.
+  Millis flow_lifetime{60000};
+  // An upstream that has not reported for this long takes no new flows.
+  Millis report_timeout{4000};
+};
+
+// What an upstream says of itself.
+struct UpstreamReport {
+  std::string id;           // Of this start of the upstream.
+  Incarnation incarnation;  // A later start has a higher one.
+  uint64_t sequence = 0;    // Counts the reports of one start.
+  std::string service;
+  UpstreamState state = UpstreamState::kReady;
+  uint32_t slots = 1;
+};
+
+enum class AgentDecisionKind : uint8_t {
+  kFlowAccepted = 0,
+  kOfferRefused = 1,
+  kFlowAdopted = 2,  // Found at the upstream after the agent had restarted.
+  kFlowReturned = 3,
+  kFlowLost = 4,  // Its upstream has started anew; the caller got a reset.
+  kMalformed = 5,
+};
+
+// Number of `AgentDecisionKind` values.
+constexpr uint32_t kAgentDecisionKindCount = 6;
+
+std::string_view ToString(AgentDecisionKind kind);
+
+struct AgentDecision {
+  AgentDecisionKind kind = AgentDecisionKind::kFlowAccepted;
+  SegmentFlow flow;
+  OfferRefusal refusal = OfferRefusal::kNone;
+  UpstreamState state = UpstreamState::kUnknown;
+  uint32_t busy = 0;
+  Millis report_age;
+  Endpoint balancer;
+};
+
+// What an agent wants sent, in order, and what it has decided.
+struct SegmentAgentOutput {
+  struct ToBalancer {
+    Endpoint to;
+    SegmentMessage message;
+  };
+  struct ToCaller {
+    Endpoint caller;
+    std::string datagram;
+  };
+
+  std::vector<ToBalancer> balancers;
+  std::vector<std::string> upstream;  // Datagrams.
+  std::vector<ToCaller> callers;
+  std::vector<AgentDecision> decisions;
+};
+
+// The decisions of the agent beside one upstream for flows of a stream
+// transport. It alone takes new flows for its upstream, so an upstream that
+// leaves gets none from the moment at which its report is acknowledged. After
+// a restart it finds its flows again: the upstream returns each packet of a
+// flow that it does not hold. Reads no clock and opens no socket. Not
+// thread-safe.
+class SegmentAgent {
+ public:
+  SegmentAgent(SegmentAgentSettings settings, Millis now);
+
+  // Takes a report of the upstream. Returns false where it is older than one
+  // taken before; it then changes nothing.
+  bool OnReport(Millis now, const UpstreamReport& report);
+
+  // The upstream has gone for good.
+  void OnLeave(const std::string& id);
+
+  // Takes no new flow from now on.
+  void Drain() { this->draining = true; }
+
+  void OnBalancer(Millis now, const Endpoint& from, SegmentMessage message,
+                  SegmentAgentOutput* out);
+
+  // Handles a packet that the upstream sent or returned.
+  void OnUpstream(Millis now, std::string datagram, SegmentAgentOutput* out);
+
+  // Ends trials and forgets idle flows. Call at least every 20 ms while
+  // `Trying`, otherwise at least once a second.
+  void Tick(Millis now, SegmentAgentOutput* out);
+
+  bool Trying() const { return !this->trials.empty(); }
+
+  // What the agent says of itself; `age` is that of the last report.
+  AgentRecord Record(Millis now) const;
+
+  UpstreamState State(Millis now) const;
+  size_t OpenFlows() const;
+  uint32_t BusyFlows() const { return this->busy; }
+
+ private:
+  struct Flow {
+    uint32_t first_sequence = 0;
+    bool first_known = false;  // False for an adopted flow.
+    bool declined = false;  // Given back; what the upstream sends is dropped.
+    bool accepted = false;  // The upstream has replied to the first packet.
+    bool opened = false;    // The caller has gone on after that.
+    bool caller_closed = false;
+    bool upstream_closed = false;
+    bool busy = false;  // The upstream works on a request.
+    bool data_seen = false;
+    uint32_t tries = 0;     // Offers that were made before this one.
+    uint32_t data_end = 0;  // Sequence after the caller's last data.
+    Endpoint balancer;
+    Incarnation incarnation;  // Of the upstream that the flow opened at.
+    Millis opened_at;
+    Millis seen;
+  };
+
+  // A packet of an unknown flow that was given to the upstream to learn
+  // whether it holds the flow.
+  struct Trial {
+    Endpoint balancer;
+    Millis until;
+    std::string datagram;
+    bool sought = false;
+  };
+
+  void OnOffer(Millis now, const Endpoint& from, SegmentMessage message,
+               const Segment& segment, SegmentAgentOutput* out);
+  OfferRefusal CheckOffer(Millis now, const SegmentMessage& message,
+                          const Segment& segment) const;
+  void OnPacketOfFlow(Millis now, const Endpoint& from, SegmentMessage message,
+                      const Segment& segment, SegmentAgentOutput* out);
+  void Try(Millis now, const SegmentFlow& flow, const Endpoint& from,
+           SegmentMessage message, SegmentAgentOutput* out);
+  void OnReturned(Millis now, const Segment& segment, std::string datagram,
+                  SegmentAgentOutput* out);
+  void OnReturnedFirst(Millis now, const SegmentFlow& flow,
+                       std::string datagram, SegmentAgentOutput* out);
+  Flow& Adopt(Millis now, const SegmentFlow& flow, SegmentAgentOutput* out);
+  void ToUpstream(std::string datagram, SegmentAgentOutput* out);
+  void Reply(Millis now, const Endpoint& to, SegmentMessage message,
+             SegmentAgentOutput* out);
+  void NoteCallerPacket(Millis now, const Segment& segment, Flow* flow);
+  void SetBusy(Flow* flow, bool is_busy);
+  void Forget(const SegmentFlow& flow);
+  bool Recovering(Millis now) const;
+  uint32_t LoadMilli() const;
+
+  SegmentAgentSettings settings;
+  ServiceKey service;
+  Millis started;
+  bool draining = false;
+  std::optional<UpstreamReport> report;
+  // The first report heard was not the first of its upstream, so flows may be
+  // open that this agent does not know.
+  bool joined_late = false;
+  Millis reported_at;
+  std::unordered_map<SegmentFlow, Flow> flows;
+  std::unordered_map<SegmentFlow, Trial> trials;
+  // Latest version that changed a listener, as offers stated it.
+  std::map<Endpoint, uint64_t> listener_changes;
+  uint32_t busy = 0;
+  uint32_t opening = 0;
+  Millis next_sweep;
+};
+
+}  // namespace cornelhill
--- /dev/null
+++ b/include/cornelhill/segment/segment_balancer.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cornelhill/base/millis.h"
+#include "cornelhill/segment/agent_directory.h"
+#include "cornelhill/segment/listener_table.h"
+#include "cornelhill/segment/segment.h"
+#include "cornelhill/segment/segment_messages.h"
+
+namespace cornelhill {
+
+struct SegmentBalancerSettings {
+  std::string failure_domain;
+  SegmentFormat format;
+  // An entry takes about 120 bytes; 60,000 stay below 8 MB.
+  size_t max_flows = 60000;
+};
+
+// Why a caller was refused, or a packet dropped, for logs and counters.
+enum class BalancerEventKind : uint8_t {
+  kNoListener = 0,
+  kNoAgent = 1,
+  kOfferRefused = 2,
+  kNotHeld = 3,
+  kSeekStarted = 4,
+  kSeekFailed = 5,
+  kMalformed = 6,
+};
+
+// Number of `BalancerEventKind` values.
+constexpr uint32_t kBalancerEventKindCount = 7;
+
+std::string_view ToString(BalancerEventKind kind);
+
+struct BalancerEvent {
+  BalancerEventKind kind = BalancerEventKind::kNoListener;
+  SegmentFlow flow;
+  OfferRefusal refusal = OfferRefusal::kNone;
+  Endpoint agent;
+  uint32_t tries = 0;
+  bool reset = false;  // The caller was sent a reset.
+};
+
+// What a balancer wants sent, in order, and what it has decided.
+struct BalancerOutput {
+  struct ToAgent {
+    Endpoint to;
+    SegmentMessage message;
+  };
+  struct ToCaller {
+    Endpoint caller;  // The caller's end of the flow.
+    std::string datagram;
+  };
+
+  std::vector<ToAgent> agents;
+  std::vector<ToCaller> callers;
+  std::vector<BalancerEvent> events;
+  // An agent has seen a later version than this balancer.
+  bool listeners_stale = false;
+};
+
+struct BalancerCounters {
+  uint64_t packets = 0;
+  uint64_t offers = 0;
+  uint64_t refused = 0;
+  uint64_t resets = 0;
+  uint64_t seeks = 0;
+  uint64_t seeks_failed = 0;
+};
+
+// The decisions of a balancer for flows of a stream transport. It places a new
+// flow at an agent and remembers who has it; what it does not remember it asks
+// the agents for, so that a restart or a change of the router's hash loses no
+// flow. Reads no clock and opens no socket. Not thread-safe.
+class SegmentBalancer {
+ public:
+  explicit SegmentBalancer(SegmentBalancerSettings settings);
+
+  // Takes listeners and agents from a core member. Returns whether the version
+  // of the listeners rose.
+  bool OnUpdate(Millis now, const Update& update);
+
+  // Handles a packet from a caller.
+  void OnPacket(Millis now, std::string_view datagram, BalancerOutput* out);
+
+  // Handles a message from the agent at `from`.
+  void OnAgent(Millis now, const Endpoint& from, SegmentMessage message,
+               BalancerOutput* out);
+
+  // Ends seeks and forgets idle flows. Call at least every 20 ms while
+  // `Seeking`, otherwise at least once a second.
+  void Tick(Millis now, BalancerOutput* out);
+
+  bool Seeking() const { return !this->seeks.empty(); }
+
+  // Whether a new flow could be served.
+  bool CanServe() const;
+
+  const ListenerTable& Listeners() const { return this->listeners; }
+  const AgentDirectory& Agents() const { return this->agents; }
+  const BalancerCounters& Counters() const { return this->counters; }
+  size_t FlowCount() const { return this->flows.size(); }
+
+ private:
+  struct Flow {
+    Endpoint owner;
+    Millis seen;
+    uint32_t first_sequence = 0;
+    uint64_t listener_change = 0;
+    uint32_t tries = 0;
+  };
+
+  struct Seek {
+    std::vector<std::string> held;
+    Millis started;
+    bool widened = false;  // Every agent was asked.
+    std::optional<Endpoint> except;
+  };
+
+  // What this balancer knows of an agent beyond the directory.
+  struct Standing {
+    Millis avoid_until;
+    uint32_t unanswered_offers = 0;
+    Millis last_offer;
+  };
+
+  void OnFirstPacket(Millis now, const SegmentFlow& flow,
+                     const Segment& segment, std::string_view datagram,
+                     BalancerOutput* out);
+  void Place(Millis now, const SegmentFlow& flow, uint32_t first_sequence,
+             std::string datagram, uint32_t tries,
+             std::optional<Endpoint> except, BalancerOutput* out);
+  std::optional<Endpoint> ChooseAgent(Millis now, ServiceKey service,
+                                      std::optional<Endpoint> except);
+  double Score(Millis now, const AgentDirectory::Entry& entry);
+  void Offer(Millis now, const SegmentFlow& flow, const Flow& state,
+             std::string datagram, BalancerOutput* out);
+  void StartSeek(Millis now, const SegmentFlow& flow, std::string datagram,
+                 std::optional<Endpoint> except, BalancerOutput* out);
+  void SendSeek(const SegmentFlow& flow, Seek* seek, bool wide,
+                BalancerOutput* out);
+  void Reset(const SegmentFlow& flow, BalancerEvent event, BalancerOutput* out);
+  void OnRefused(Millis now, const Endpoint& from, SegmentMessage message,
+                 BalancerOutput* out);
+  void OnNotHeld(Millis now, const Endpoint& from, SegmentMessage message,
+                 BalancerOutput* out);
+  void OnHeld(Millis now, const Endpoint& from, const SegmentMessage& message,
+              BalancerOutput* out);
+  void LearnLoad(Millis now, const Endpoint& from,
+                 const SegmentMessage& message);
+
+  SegmentBalancerSettings settings;
+  ListenerTable listeners;
+  AgentDirectory agents;
+  std::map<Endpoint, Standing> standings;
+  std::unordered_map<SegmentFlow, Flow> flows;
+  std::unordered_map<SegmentFlow, Seek> seeks;
+  Millis next_sweep;
+  BalancerCounters counters;
+};
+
+}  // namespace cornelhill
--- /dev/null
+++ b/include/cornelhill/segment/segment_messages.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "cornelhill/base/flow_key.h"
+#include "cornelhill/base/millis.h"
+#include "cornelhill/base/result.h"
+#include "cornelhill/base/strong_id.h"
+#include "cornelhill/segment/listener_table.h"
+#include "cornelhill/segment/segment.h"
+
+namespace cornelhill {
+
+// What an upstream says of itself through its agent.
+enum class UpstreamState : uint8_t {
+  kUnknown = 0,  // Not heard yet, or not heard for too long.
+  kReady = 1,
+  kDraining = 2,
+  kGone = 3,
+};
+
+// Number of `UpstreamState` values.
+constexpr uint32_t kUpstreamStateCount = 4;
+
+// Why an agent does not take a new flow.
+enum class OfferRefusal : uint8_t {
+  kNone = 0,
+  kNotReady = 1,      // State other than ready.
+  kWrongService = 2,  // The agent serves another service.
+  kFull = 3,          // The upstream returned the packet.
+  kStale = 4,         // The listener has changed since the balancer's version.
+  kUnresponsive = 5,  // The upstream has not replied to the first packet.
+  kBusy = 6,          // No free slot, and no other agent was asked yet.
+};
+
+// Number of `OfferRefusal` values.
+constexpr uint32_t kOfferRefusalCount = 7;
+
+std::string_view ToString(UpstreamState state);
+std::string_view ToString(OfferRefusal refusal);
+
+enum class SegmentMessageKind : uint8_t {
+  // Balancer to agent.
+  kOffer = 1,    // First packet of a flow, for an agent that may take it.
+  kDeliver = 2,  // A packet for the owner of its flow.
+  kSeek = 3,     // A packet for whichever agent owns its flow.
+  // Agent to balancer.
+  kLoad = 4,     // The offer was taken.
+  kRefused = 5,  // The offer was not taken; holds the packet.
+  kNotHeld = 6,  // The flow of a delivered packet is not known; holds it.
+  kHeld = 7,     // The flow of a sought packet is held here.
+};
+
+// A message between a balancer and an agent. Fields that a kind does not name
+// keep their defaults.
+struct SegmentMessage {
+  SegmentMessageKind kind = SegmentMessageKind::kDeliver;
+  std::string datagram;
+  ServiceKey service;            // Offer: for which service.
+  uint64_t listener_change = 0;  // Offer: version that changed the listener.
+  uint32_t tries = 0;            // Offer and refusal: offers made before.
+  OfferRefusal refusal = OfferRefusal::kNone;
+  SegmentFlow flow;         // Held and load.
+  uint32_t load_milli = 0;  // From an agent: busy flows per slot times 1000.
+  uint32_t open_flows = 0;  // From an agent.
+  UpstreamState state = UpstreamState::kUnknown;  // From an agent.
+
+  bool operator==(const SegmentMessage&) const = default;
+};
+
+// One agent as core members and balancers know it.
+struct AgentRecord {
+  Endpoint address;  // Of its data socket.
+  ServiceKey service;
+  std::string failure_domain;
+  Incarnation incarnation;  // Of its upstream.
+  UpstreamState state = UpstreamState::kUnknown;
+  uint32_t slots = 1;
+  uint32_t load_milli = 0;
+  uint32_t open_flows = 0;
+  Millis age;  // Time since the agent said so.
+
+  bool operator==(const AgentRecord&) const = default;
+};
+
+// From a daemon to a core member, periodically and on a change.
+struct Hello {
+  Endpoint address;
+  bool balancer = false;
+  bool directory = false;  // Asks for the agents, too.
+  uint64_t listener_version = 0;
+  std::string failure_domain;
+  std::vector<AgentRecord> agent;  // At most one: of the sender.
+};
+
+// From a core member to a daemon.
+struct Update {
+  ListenerDelta listeners;  // `to` is 0 where there is none.
+  std::vector<AgentRecord> agents;
+  std::vector<std::string> members;  // Addresses of the core members.
+};
+
+// From a core member without a member id, or one that may have been removed.
+struct CoreJoin {
+  std::string address;
+  uint64_t token = 0;
+  uint64_t member = 0;
+};
+
+struct CoreJoinReply {
+  uint64_t token = 0;
+  uint64_t member = 0;
+  bool removed = false;
+  std::string leader;
+};
+
+// A consensus message in its own encoding.
+struct CoreConsensus {
+  std::string message;
+  std::string from;
+};
+
+using NodeMessage =
+    std::variant<Hello, Update, CoreJoin, CoreJoinReply, CoreConsensus>;
+
+// Encoders never fail. Decoders fail with `kMalformed`, `kTooLarge` or
+// `kUnsupportedVersion`. All are thread-safe.
+std::string Encode(const SegmentMessage& message);
+std::string Encode(const NodeMessage& message);
+Result<SegmentMessage> DecodeSegmentMessage(std::string_view bytes);
+Result<NodeMessage> DecodeNodeMessage(std::string_view bytes);
+
+}  // namespace cornelhill
--- a/src/control/control_codec.cc
+++ b/src/control/control_codec.cc
@@ -509,6 +509,15 @@
                      {},
                      UpstreamWeight{InstanceId(in.upstream_weight().instance()),
                                     in.upstream_weight().weight()}};
+    case pb::Command::kPutListeners: {
+      BOOST_OUTCOME_TRY(CheckText(in.put_listeners().document(),
+                                  kMaxListenerDocumentBytes,
+                                  "listener document"));
+      return Command{{},
+                     {},
+                     PutListeners{in.put_listeners().version(),
+                                  in.put_listeners().document()}};
+    }
     case pb::Command::BODY_NOT_SET:
       break;
   }
@@ -550,6 +559,10 @@
           [&out](const UpstreamWeight& body) {
             out.mutable_upstream_weight()->set_instance(body.instance.Value());
             out.mutable_upstream_weight()->set_weight(body.weight);
+          },
+          [&out](const PutListeners& body) {
+            out.mutable_put_listeners()->set_version(body.version);
+            out.mutable_put_listeners()->set_document(body.document);
           }},
       command.body);
   return out.SerializeAsString();
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -317,6 +317,16 @@
   return Respond(CommandOutcome::kApplied, revision, {});
 }
 
+CommandResponse ControlState::Execute(Revision revision,
+                                      const Command& /*command*/,
+                                      const PutListeners& put) {
+  if (put.version <= this->listeners.version) {
+    return Respond(CommandOutcome::kUnchanged, revision, {});
+  }
+  this->listeners = put;
+  return Respond(CommandOutcome::kApplied, revision, {});
+}
+
 CommandResponse ControlState::Execute(Revision revision, const Command& command,
                                       const UpstreamWeight& weight) {
   if (weight.weight > kMaxWeight) {
@@ -507,6 +517,8 @@
       ToProto(entry, out.add_history());
     }
   }
+  out.mutable_listeners()->set_version(this->listeners.version);
+  out.mutable_listeners()->set_document(this->listeners.document);
   for (const ServiceChange& change : this->store.Export()) {
     ToProto(change, out.add_views());
   }
@@ -538,6 +550,7 @@
     ControlState out;
     out.last_service_id = ServiceId(in.last_service_id());
     out.last_incarnation = Incarnation(in.last_incarnation());
+    out.listeners = {in.listeners().version(), in.listeners().document()};
     BOOST_OUTCOME_TRY(change, FromProto(in.declaration_change()));
     out.declaration_change = std::move(change);
     for (const pb::ServiceRecord& record : in.services()) {
--- a/src/cornelhilld/main.cc
+++ b/src/cornelhilld/main.cc
@@ -3,11 +3,15 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <string>
 
 #include "cornelhill/base/log.h"
+#include "cornelhill/config/node_settings.h"
 #include "cornelhill/config/settings.h"
+#include "cornelhill/daemon/node_roles.h"
 #include "cornelhill/daemon/roles.h"
 
 ABSL_FLAG(std::string, config, "",
@@ -36,12 +40,39 @@
   return Error{ErrorCode::kInvalidArgument, "unknown role"};
 }
 
+// Runs a process of a deployment that finds its members through seeds.
+int NodeMain(const std::string& path) {
+  const Result<NodeSettings> settings = LoadNodeSettings(path);
+  if (!settings.has_value()) {
+    std::cerr << "cornelhilld: " << settings.error().message << "\n";
+    return kExitUsage;
+  }
+  if (absl::GetFlag(FLAGS_check_config)) {
+    std::cout << path << ": settings of " << settings.value().instance
+              << " are valid\n";
+    return kExitOk;
+  }
+  InitLogging(settings.value().instance);
+  const Result<void> result = RunNode(settings.value());
+  if (!result.has_value()) {
+    LogLine("process_failed").Error().Add("error", result.error().message);
+    return kExitFailed;
+  }
+  return kExitOk;
+}
+
+std::string ReadAll(const std::string& path) {
+  std::ifstream in(path);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
 int Main() {
   const std::string path = absl::GetFlag(FLAGS_config);
   if (path.empty()) {
     std::cerr << "cornelhilld: --config=FILE is required\n";
     return kExitUsage;
   }
+  if (IsNodeSettings(ReadAll(path))) return NodeMain(path);
   const Result<Settings> settings = LoadSettings(path);
   if (!settings.has_value()) {
     std::cerr << "cornelhilld: " << settings.error().message << "\n";
--- /dev/null
+++ b/src/daemon/core_role.cc
@@ -0,0 +1,572 @@
+#include <algorithm>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornelhill/base/hash.h"
+#include "cornelhill/base/log.h"
+#include "cornelhill/base/random.h"
+#include "cornelhill/consensus/consensus_codec.h"
+#include "cornelhill/control/core_membership.h"
+#include "cornelhill/daemon/control_log.h"
+#include "cornelhill/daemon/http_server.h"
+#include "cornelhill/daemon/node_roles.h"
+#include "cornelhill/daemon/node_socket.h"
+#include "cornelhill/daemon/runtime.h"
+#include "cornelhill/segment/agent_directory.h"
+#include "cornelhill/segment/listener_table.h"
+
+namespace cornelhill {
+
+namespace {
+
+// A quarter of the time between two heartbeats of the replicated log.
+constexpr Millis kTickPeriod{50};
+constexpr Millis kMembershipPeriod{500};
+constexpr Millis kJoinPeriod{500};
+// How long a member waits for a leader before it asks whether it was removed.
+constexpr Millis kLeaderless{4000};
+// A log whose disk failed is opened again after this time.
+constexpr Millis kReopenPeriod{500};
+// A daemon that has said nothing for this long is gone.
+constexpr Millis kDaemonExpiry{4000};
+
+class CoreRole {
+ public:
+  CoreRole(const NodeSettings& settings, const PlatformFormats& formats)
+      : settings(settings),
+        formats(formats),
+        seed(RandomSeed()),
+        socket(runtime.Io(),
+               settings.instance + "/core/" + std::to_string(this->seed),
+               [this](const NodeSocket::Peer& peer, const std::string& bytes) {
+                 this->OnMessage(peer, bytes);
+               }),
+        operators(runtime.Io(), [this](const HttpRequest& request,
+                                       const HttpServer::Respond& respond) {
+          this->OnRequest(request, respond);
+        }) {}
+
+  Result<void> Run() {
+    BOOST_OUTCOME_TRY(this->socket.Bind(this->settings.CoreAddress()));
+    BOOST_OUTCOME_TRY(this->operators.Listen(*this->settings.operators));
+    this->OpenLog();
+    if (this->log == nullptr && this->MayBootstrap()) this->Bootstrap();
+    this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
+    this->runtime.Every(kMembershipPeriod, [this] { this->TendMembership(); });
+    this->runtime.Every(kJoinPeriod, [this] { this->AskToJoin(); });
+    this->runtime.Every(kReopenPeriod, [this] { this->Reopen(); });
+    LogLine("process_started")
+        .Add("role", "core")
+        .Add("address", ToString(this->settings.CoreAddress()))
+        .Add("joining", this->log == nullptr ? 1 : 0);
+    this->runtime.Run();
+    LogLine("process_stopped").Add("role", "core");
+    return boost::outcome_v2::success();
+  }
+
+ private:
+  // A balancer or agent that has said hello.
+  struct Daemon {
+    NodeSocket::Peer peer;
+    bool balancer = false;
+    bool directory = false;
+    uint64_t listener_version = 0;
+    Millis heard;
+  };
+
+  // Starting, joining and failing disks.
+
+  const std::string& Directory() const { return this->settings.data_directory; }
+
+  bool MayBootstrap() const {
+    return this->settings.bootstrap && this->empty_disk &&
+           !this->settings.seeds.empty() &&
+           this->settings.seeds.front() == *this->settings.operators;
+  }
+
+  void Bootstrap() {
+    const Result<void> made =
+        ControlLog::Bootstrap(this->Directory(), ToString(this->SelfAddress()));
+    if (!made.has_value()) {
+      LogLine("bootstrap_failed").Error().Add("detail", made.error().message);
+      return;
+    }
+    LogLine("group_bootstrapped");
+    this->OpenLog();
+  }
+
+  CoreAddress SelfAddress() const {
+    return {this->settings.CoreAddress(), this->settings.failure_domain,
+            this->seed};
+  }
+
+  void OpenLog() {
+    std::error_code error;
+    std::filesystem::create_directories(this->Directory(), error);
+    if (error) {
+      LogLine("disk_failed").Warn().Add("detail", error.message());
+      this->reopen = true;
+      return;
+    }
+    const Millis now = MonotonicNow();
+    Result<std::unique_ptr<ControlLog>> opened = ControlLog::Open(
+        this->Directory(), now, this->seed, this->LogHandlers());
+    this->empty_disk =
+        !opened.has_value() && opened.error().code == ErrorCode::kNotFound;
+    this->reopen = !opened.has_value() && !this->empty_disk;
+    if (!opened.has_value()) {
+      LogLine("log_not_opened").Warn().Add("detail", opened.error().message);
+      if (opened.error().code == ErrorCode::kCorrupt) this->DiscardLog();
+      return;
+    }
+    this->log = std::move(opened.value());
+    this->leader_heard = now;
+    this->AfterLog();
+    LogLine("log_opened")
+        .Add("member", this->log->Status(now).self.Value())
+        .Add("listener_version", this->table.Version());
+  }
+
+  ControlLog::Handlers LogHandlers() {
+    return {[this](const ConsensusMessage& message) {
+              this->SendConsensus(message);
+            },
+            [](const Command&, const CommandResponse&) {},
+            [this](const RoleChange& change) { this->OnRole(change); },
+            [this](const std::string& reason) {
+              this->halt_reason = reason;
+              this->reopen = true;
+            }};
+  }
+
+  // The folder can no longer be read, or its member was removed: this process
+  // comes back as a new member.
+  void DiscardLog() {
+    this->log.reset();
+    std::error_code error;
+    for (const auto& entry :
+         std::filesystem::directory_iterator(this->Directory(), error)) {
+      std::error_code ignored;
+      std::filesystem::remove_all(entry.path(), ignored);
+    }
+    this->seed = RandomSeed();
+    this->empty_disk = true;
+    this->reopen = false;
+    LogLine("log_discarded").Warn();
+  }
+
+  void Reopen() {
+    if (!this->reopen) return;
+    if (!this->halt_reason.empty()) {
+      LogLine("log_halted").Error().Add("reason", this->halt_reason);
+      this->halt_reason.clear();
+    }
+    this->log.reset();
+    this->OpenLog();
+  }
+
+  void AskToJoin() {
+    const Millis now = MonotonicNow();
+    CoreJoin join{ToString(this->SelfAddress()), this->seed, 0};
+    if (this->log != nullptr) {
+      const ReplicaStatus status = this->log->Status(now);
+      if (status.leader != MemberId()) this->leader_heard = now;
+      if (now - this->leader_heard < kLeaderless) return;
+      join.member = status.self.Value();
+    } else if (!this->empty_disk) {
+      return;
+    }
+    for (const Endpoint& address : this->OtherCores()) {
+      this->socket.Send(address, Encode(NodeMessage(join)));
+    }
+  }
+
+  std::vector<Endpoint> OtherCores() const {
+    std::vector<Endpoint> out;
+    for (const Endpoint& seed_address : this->settings.seeds) {
+      out.push_back(this->settings.CoreAddressOf(seed_address));
+    }
+    for (const std::string& text : this->MemberTexts()) {
+      const Result<CoreAddress> address = ParseCoreAddress(text);
+      if (address.has_value()) out.push_back(address.value().endpoint);
+    }
+    std::sort(out.begin(), out.end());
+    out.erase(std::unique(out.begin(), out.end()), out.end());
+    std::erase(out, this->settings.CoreAddress());
+    return out;
+  }
+
+  void OnJoin(const NodeSocket::Peer& peer, const CoreJoin& join) {
+    if (this->log == nullptr) return;
+    const Millis now = MonotonicNow();
+    const ReplicaStatus status = this->log->Status(now);
+    if (status.role != ReplicaRole::kLeader || status.change_in_flight) return;
+    CoreJoinReply reply{join.token, 0, false, {}};
+    if (join.member != 0) {
+      const MemberId asked(join.member);
+      if (FindMember(status.membership, asked) != nullptr ||
+          asked > status.membership.highest_id) {
+        return;
+      }
+      reply.removed = true;
+      reply.member = join.member;
+      // Only a leader that a majority confirms knows who was removed.
+      this->log->Confirm(now,
+                         [this, peer, reply](std::optional<Millis> started) {
+                           if (!started.has_value()) return;
+                           this->socket.Reply(peer, Encode(NodeMessage(reply)));
+                         });
+      return;
+    }
+    for (const Member& member : status.membership.members) {
+      if (member.address != join.address) continue;
+      reply.member = member.id.Value();
+      this->socket.Reply(peer, Encode(NodeMessage(reply)));
+      return;
+    }
+    const MemberId id(status.membership.highest_id.Value() + 1);
+    if (this->log->ChangeMembership(now, AddLearner{id, join.address})
+            .has_value()) {
+      LogLine("learner_added")
+          .Add("member", id.Value())
+          .Add("address", join.address);
+    }
+    this->AfterLog();
+  }
+
+  void OnJoinReply(const CoreJoinReply& reply) {
+    if (reply.removed) {
+      if (this->log == nullptr || reply.token != this->seed) return;
+      if (this->log->Status(MonotonicNow()).self != MemberId(reply.member)) {
+        return;
+      }
+      LogLine("member_was_removed").Warn().Add("member", reply.member);
+      this->DiscardLog();
+      return;
+    }
+    if (this->log != nullptr || reply.token != this->seed ||
+        !this->empty_disk) {
+      return;
+    }
+    const Result<void> joined =
+        ControlLog::Join(this->Directory(), MemberId(reply.member));
+    if (!joined.has_value()) {
+      LogLine("join_failed").Error().Add("detail", joined.error().message);
+      this->DiscardLog();
+      return;
+    }
+    LogLine("joined_as_learner").Add("member", reply.member);
+    this->OpenLog();
+  }
+
+  void TendMembership() {
+    if (this->log == nullptr) return;
+    const Millis now = MonotonicNow();
+    const std::optional<MembershipChange> change =
+        this->membership.Next(now, this->log->Status(now));
+    if (!change.has_value()) return;
+    const Result<ProposalId> proposed =
+        this->log->ChangeMembership(now, *change);
+    LogLine("membership_change")
+        .Add("change", change->index())
+        .Add("member",
+             std::visit([](const auto& body) { return body.id.Value(); },
+                        *change))
+        .Add("result",
+             proposed.has_value() ? "proposed" : proposed.error().message);
+    this->AfterLog();
+  }
+
+  // Messages.
+
+  void OnMessage(const NodeSocket::Peer& peer, const std::string& bytes) {
+    Result<NodeMessage> message = DecodeNodeMessage(bytes);
+    if (!message.has_value()) {
+      LogLine("message_dropped").Warn().Add("detail", message.error().message);
+      return;
+    }
+    if (const auto* hello = std::get_if<Hello>(&message.value())) {
+      this->OnHello(peer, *hello);
+    } else if (const auto* join = std::get_if<CoreJoin>(&message.value())) {
+      this->OnJoin(peer, *join);
+    } else if (const auto* reply =
+                   std::get_if<CoreJoinReply>(&message.value())) {
+      this->OnJoinReply(*reply);
+    } else if (const auto* packet =
+                   std::get_if<CoreConsensus>(&message.value())) {
+      this->OnConsensus(*packet);
+    }
+  }
+
+  void OnConsensus(const CoreConsensus& packet) {
+    if (this->log == nullptr) return;
+    Result<ConsensusMessage> message = DecodeConsensusMessage(packet.message);
+    if (!message.has_value()) {
+      LogLine("message_dropped").Warn().Add("detail", message.error().message);
+      return;
+    }
+    const Millis now = MonotonicNow();
+    if (message.value().to != this->log->Status(now).self) return;
+    const Result<Endpoint> from = ParseEndpoint(packet.from);
+    if (from.has_value()) this->addresses[message.value().from] = from.value();
+    this->log->Step(now, std::move(message.value()));
+    this->AfterLog();
+  }
+
+  void SendConsensus(const ConsensusMessage& message) {
+    // While the log is being opened there is nobody to send to yet.
+    if (this->log == nullptr) return;
+    const Membership known = this->log->Status(MonotonicNow()).membership;
+    std::optional<Endpoint> to;
+    if (const Member* member = FindMember(known, message.to)) {
+      const Result<CoreAddress> address = ParseCoreAddress(member->address);
+      if (address.has_value()) to = address.value().endpoint;
+    }
+    // A learner knows the leader before it has the membership.
+    const auto heard = this->addresses.find(message.to);
+    if (!to.has_value() && heard != this->addresses.end()) to = heard->second;
+    if (!to.has_value()) return;
+    this->socket.Send(
+        *to, Encode(NodeMessage(CoreConsensus{
+                 Encode(message), ToString(this->settings.CoreAddress())})));
+  }
+
+  void OnRole(const RoleChange& change) {
+    LogLine("role_changed")
+        .Add("role", ToString(change.role))
+        .Add("term", change.term.Value())
+        .Add("leader", change.leader.Value());
+  }
+
+  void Tick() {
+    if (this->log != nullptr) {
+      this->log->Tick(MonotonicNow());
+      this->AfterLog();
+    }
+    const Millis now = MonotonicNow();
+    if (now < this->next_expiry) return;
+    this->next_expiry = now + Millis(1000);
+    this->directory.Expire(now);
+    std::erase_if(this->daemons, [now](const auto& item) {
+      return now - item.second.heard > kDaemonExpiry;
+    });
+    this->socket.Keep([cores = this->OtherCores()](const Endpoint& address) {
+      return std::find(cores.begin(), cores.end(), address) != cores.end();
+    });
+  }
+
+  // Takes over what the log has committed, and passes it on.
+  void AfterLog() {
+    if (this->log == nullptr) return;
+    const PutListeners& listeners = this->log->State().Listeners();
+    if (listeners.version <= this->table.Version()) return;
+    const Result<ListenerSet> set =
+        this->formats.listener.read(listeners.document);
+    if (!set.has_value()) {
+      // Documents are checked before they are proposed.
+      LogLine("listeners_unreadable")
+          .Error()
+          .Add("version", listeners.version)
+          .Add("detail", set.error().message);
+      return;
+    }
+    this->table.Apply(set.value());
+    LogLine("listeners_committed")
+        .Add("version", this->table.Version())
+        .Add("listeners", this->table.Size());
+    for (auto& [id, daemon] : this->daemons) {
+      if (daemon.balancer) this->SendUpdate(&daemon, {});
+    }
+  }
+
+  // Daemons.
+
+  std::vector<std::string> MemberTexts() const {
+    std::vector<std::string> out;
+    if (this->log == nullptr) return out;
+    for (const Member& member :
+         this->log->Status(MonotonicNow()).membership.members) {
+      out.push_back(member.address);
+    }
+    return out;
+  }
+
+  void OnHello(const NodeSocket::Peer& peer, const Hello& hello) {
+    const Millis now = MonotonicNow();
+    Daemon& daemon = this->daemons[peer.routing_id];
+    daemon = {peer, hello.balancer, hello.directory, hello.listener_version,
+              now};
+    if (!hello.agent.empty()) {
+      const bool changed = this->directory.Merge(now, hello.agent.front());
+      if (changed) this->PushAgent(hello.agent.front());
+    }
+    this->SendUpdate(&daemon, hello.directory ? this->directory.Records(now)
+                                              : std::vector<AgentRecord>{});
+  }
+
+  void PushAgent(const AgentRecord& record) {
+    LogLine("agent_changed")
+        .Add("agent", ToString(record.address))
+        .Add("failure_domain", record.failure_domain)
+        .Add("state", ToString(record.state));
+    for (auto& [id, daemon] : this->daemons) {
+      if (daemon.balancer) this->SendUpdate(&daemon, {record});
+    }
+  }
+
+  void SendUpdate(Daemon* daemon, std::vector<AgentRecord> agents) {
+    Update update;
+    update.agents = std::move(agents);
+    update.members = this->MemberTexts();
+    if (daemon->balancer && daemon->listener_version < this->table.Version()) {
+      update.listeners = this->table.DeltaSince(daemon->listener_version);
+      // Stated again by the next hello where this message is lost.
+      daemon->listener_version = this->table.Version();
+    }
+    this->socket.Reply(daemon->peer, Encode(NodeMessage(update)));
+  }
+
+  // Operators.
+
+  void Refuse(const HttpServer::Respond& respond, uint32_t status,
+              const std::string& detail) {
+    respond({status, this->formats.api.error(detail), {}});
+  }
+
+  void OnRequest(const HttpRequest& request,
+                 const HttpServer::Respond& respond) {
+    const ApiRequest call = this->formats.api.read(request);
+    if (const auto* refusal = std::get_if<ApiRefusal>(&call)) {
+      LogLine("request_refused")
+          .Warn()
+          .Add("target", request.target.substr(0, 100))
+          .Add("status", refusal->status)
+          .Add("detail", refusal->message);
+      this->Refuse(respond, refusal->status, refusal->message);
+      return;
+    }
+    const auto* put = std::get_if<ListenerPut>(&call);
+    if (put == nullptr && !std::holds_alternative<ListenerGet>(call)) {
+      this->Refuse(respond, 404, "not served here");
+      return;
+    }
+    if (!this->Leads()) {
+      this->Redirect(request, respond);
+    } else if (put != nullptr) {
+      this->OnPut(*put, respond);
+    } else {
+      this->OnGet(respond);
+    }
+  }
+
+  bool Leads() const {
+    return this->log != nullptr &&
+           this->log->Status(MonotonicNow()).role == ReplicaRole::kLeader;
+  }
+
+  void Redirect(const HttpRequest& request,
+                const HttpServer::Respond& respond) {
+    if (this->log != nullptr) {
+      const ReplicaStatus status = this->log->Status(MonotonicNow());
+      const Member* leader = FindMember(status.membership, status.leader);
+      const Result<CoreAddress> address =
+          ParseCoreAddress(leader == nullptr ? std::string() : leader->address);
+      if (address.has_value() && status.leader != status.self) {
+        const Endpoint to{address.value().endpoint.address,
+                          this->settings.operators->port};
+        respond({307, {}, "http://" + ToString(to) + request.target});
+        return;
+      }
+    }
+    this->Refuse(respond, 503, "no leader is known");
+  }
+
+  void OnPut(const ListenerPut& put, const HttpServer::Respond& respond) {
+    const Millis now = MonotonicNow();
+    const uint64_t held = this->log->State().Listeners().version;
+    const auto log_order = [put, held](std::string_view outcome) {
+      LogLine("order")
+          .Add("version", put.version)
+          .Add("held", held)
+          .Add("outcome", outcome);
+    };
+    if (put.version <= held) {
+      this->log->Confirm(
+          now, [this, respond, log_order](std::optional<Millis> started) {
+            log_order(started.has_value() ? "superseded" : "unconfirmed");
+            if (started.has_value()) {
+              respond({200, "{}", {}});
+            } else {
+              this->Refuse(respond, 503, "this instance cannot confirm");
+            }
+          });
+      this->AfterLog();
+      return;
+    }
+    Command command;
+    command.request_id = "listeners-" + std::to_string(put.version) + "-" +
+                         std::to_string(Hash64(put.document));
+    command.operator_name = "operator";
+    command.body = PutListeners{put.version, put.document};
+    this->log->Propose(
+        now, command,
+        [this, respond, log_order](const Result<CommandResponse>& response) {
+          if (response.has_value()) {
+            log_order("accepted");
+            respond({200, "{}", {}});
+          } else {
+            log_order(response.error().message);
+            this->Refuse(respond, 503, response.error().message);
+          }
+        });
+    this->AfterLog();
+  }
+
+  void OnGet(const HttpServer::Respond& respond) {
+    this->log->Confirm(
+        MonotonicNow(), [this, respond](std::optional<Millis> started) {
+          const PutListeners& held = this->log->State().Listeners();
+          if (!started.has_value() || held.version == 0) {
+            this->Refuse(respond, 503,
+                         started.has_value() ? "no configuration yet"
+                                             : "this instance cannot confirm");
+            return;
+          }
+          respond({200, held.document, {}});
+        });
+    this->AfterLog();
+  }
+
+  const NodeSettings& settings;
+  const PlatformFormats& formats;
+  uint64_t seed;
+  Runtime runtime;
+  NodeSocket socket;
+  HttpServer operators;
+  std::unique_ptr<ControlLog> log;  // Null while joining or without a disk.
+  bool empty_disk = false;
+  bool reopen = false;
+  std::string halt_reason;
+  Millis leader_heard;
+  CoreMembership membership;
+  std::map<MemberId, Endpoint> addresses;  // As messages stated them.
+  ListenerTable table;
+  AgentDirectory directory;
+  std::map<std::string, Daemon> daemons;  // By routing id.
+  Millis next_expiry;
+};
+
+}  // namespace
+
+Result<void> RunCore(const NodeSettings& settings,
+                     const PlatformFormats& formats) {
+  CoreRole role(settings, formats);
+  return role.Run();
+}
+
+}  // namespace cornelhill
--- a/src/daemon/datagram_socket.cc
+++ b/src/daemon/datagram_socket.cc
@@ -31,6 +31,7 @@
                                      ToString(address) + ": " +
                                      error.message()};
   }
+  this->socket.non_blocking(true, error);
   // A smaller buffer than asked for is not an error.
   boost::system::error_code ignored;
   this->socket.set_option(udp::socket::receive_buffer_size(kBufferBytes),
@@ -45,17 +46,26 @@
 }
 
 void DatagramSocket::Receive() {
-  this->socket.async_receive_from(
-      boost::asio::buffer(this->buffer), this->from,
-      [this](const boost::system::error_code& error, size_t bytes) {
-        if (error == boost::asio::error::operation_aborted) return;
-        if (!error) {
-          this->handler(
-              {this->from.address().to_v4().to_uint(), this->from.port()},
-              {this->buffer.data(), bytes});
-        }
-        if (this->socket.is_open()) this->Receive();
-      });
+  this->socket.async_wait(udp::socket::wait_read,
+                          [this](const boost::system::error_code& error) {
+                            if (error) return;
+                            this->ReceiveBatch();
+                            if (this->socket.is_open()) this->Receive();
+                          });
+}
+
+// Takes what has arrived without going through the event loop for each
+// datagram; other handlers run after `kBatch` of them.
+void DatagramSocket::ReceiveBatch() {
+  for (int i = 0; i < kBatch && this->socket.is_open(); ++i) {
+    boost::system::error_code error;
+    const size_t bytes = this->socket.receive_from(
+        boost::asio::buffer(this->buffer), this->from, 0, error);
+    if (error == boost::asio::error::would_block) return;
+    if (error) continue;
+    this->handler({this->from.address().to_v4().to_uint(), this->from.port()},
+                  {this->buffer.data(), bytes});
+  }
 }
 
 void DatagramSocket::Send(const Endpoint& to, const std::string& bytes) {
--- /dev/null
+++ b/src/daemon/entry_role.cc
@@ -0,0 +1,191 @@
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "cornelhill/base/log.h"
+#include "cornelhill/daemon/core_link.h"
+#include "cornelhill/daemon/datagram_socket.h"
+#include "cornelhill/daemon/http_server.h"
+#include "cornelhill/daemon/node_roles.h"
+#include "cornelhill/daemon/runtime.h"
+#include "cornelhill/segment/segment_balancer.h"
+
+namespace cornelhill {
+
+namespace {
+
+constexpr Millis kTickPeriod{1000};
+constexpr std::chrono::milliseconds kSeekTick{20};
+// A router takes a balancer out of rotation after two checks that fail, half a
+// second apart; the third half second is for packets on their way.
+constexpr Millis kLeaveRotation{1500};
+constexpr Millis kCountersPeriod{10000};
+
+class EntryRole {
+ public:
+  EntryRole(const NodeSettings& settings, const PlatformFormats& formats)
+      : settings(settings),
+        formats(formats),
+        balancer({settings.failure_domain, formats.segment}),
+        packets(runtime.Io()),
+        data(runtime.Io()),
+        ready(runtime.Io(),
+              [this](const HttpRequest& request,
+                     const HttpServer::Respond& respond) {
+                this->OnRequest(request, respond);
+              }),
+        link(runtime, settings,
+             {[this] { return this->MakeHello(); },
+              [this](const Update& update) { this->OnUpdate(update); }}),
+        seek_timer(runtime.Io()) {}
+
+  Result<void> Run() {
+    BOOST_OUTCOME_TRY(this->data.Open(this->settings.DataAddress()));
+    BOOST_OUTCOME_TRY(this->packets.Open(*this->settings.packets));
+    BOOST_OUTCOME_TRY(this->ready.Listen(*this->settings.ready));
+    this->data.Start([this](Endpoint from, std::string_view bytes) {
+      this->OnData(from, bytes);
+    });
+    this->packets.Start([this](Endpoint, std::string_view bytes) {
+      BalancerOutput out;
+      this->balancer.OnPacket(MonotonicNow(), bytes, &out);
+      this->Carry(std::move(out));
+    });
+    this->link.Start();
+    this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
+    this->runtime.Every(kCountersPeriod, [this] { this->LogCounters(); });
+    this->runtime.OnDrain([this] {
+      this->draining = true;
+      this->runtime.Every(kLeaveRotation, [this] { this->runtime.Stop(); });
+    });
+    LogLine("process_started")
+        .Add("role", "entry")
+        .Add("packets", ToString(*this->settings.packets))
+        .Add("data", ToString(this->settings.DataAddress()));
+    this->runtime.Run();
+    this->LogCounters();
+    LogLine("process_stopped").Add("role", "entry");
+    return boost::outcome_v2::success();
+  }
+
+ private:
+  Hello MakeHello() const {
+    Hello hello;
+    hello.address = this->settings.DataAddress();
+    hello.balancer = true;
+    hello.listener_version = this->balancer.Listeners().Version();
+    hello.failure_domain = this->settings.failure_domain;
+    return hello;
+  }
+
+  void OnUpdate(const Update& update) {
+    if (!this->balancer.OnUpdate(MonotonicNow(), update)) return;
+    LogLine("listeners_in_effect")
+        .Add("version", this->balancer.Listeners().Version())
+        .Add("listeners", this->balancer.Listeners().Size());
+  }
+
+  void OnRequest(const HttpRequest& request,
+                 const HttpServer::Respond& respond) {
+    const ApiRequest call = this->formats.api.read(request);
+    if (!std::holds_alternative<ReadyQuery>(call)) {
+      respond({404, this->formats.api.error("not served here"), {}});
+      return;
+    }
+    const bool serves = !this->draining && this->balancer.CanServe();
+    respond({serves ? 200U : 503U, {}, {}});
+  }
+
+  void OnData(const Endpoint& from, std::string_view bytes) {
+    Result<SegmentMessage> message = DecodeSegmentMessage(bytes);
+    if (!message.has_value()) {
+      LogLine("message_dropped")
+          .Warn()
+          .Add("from", ToString(from))
+          .Add("detail", message.error().message);
+      return;
+    }
+    BalancerOutput out;
+    this->balancer.OnAgent(MonotonicNow(), from, std::move(message.value()),
+                           &out);
+    this->Carry(std::move(out));
+  }
+
+  void Carry(BalancerOutput out) {
+    for (const BalancerOutput::ToAgent& send : out.agents) {
+      this->data.Send(send.to, Encode(send.message));
+    }
+    for (const BalancerOutput::ToCaller& send : out.callers) {
+      this->data.Send({send.caller.address, this->settings.packets->port},
+                      send.datagram);
+    }
+    for (const BalancerEvent& event : out.events) Log(event);
+    if (out.listeners_stale) this->link.SayHello();
+    if (this->balancer.Seeking()) this->ArmSeekTimer();
+  }
+
+  static void Log(const BalancerEvent& event) {
+    LogLine line(ToString(event.kind));
+    line.Add("caller", ToString(event.flow.caller))
+        .Add("listener", ToString(event.flow.listener));
+    if (event.agent != Endpoint()) line.Add("agent", ToString(event.agent));
+    if (event.refusal != OfferRefusal::kNone) {
+      line.Add("refusal", ToString(event.refusal));
+    }
+    line.Add("tries", event.tries).Add("reset", event.reset ? 1 : 0);
+  }
+
+  void ArmSeekTimer() {
+    if (this->seek_armed) return;
+    this->seek_armed = true;
+    this->seek_timer.expires_after(kSeekTick);
+    this->seek_timer.async_wait([this](const boost::system::error_code& error) {
+      if (error) return;
+      this->seek_armed = false;
+      this->Tick();
+    });
+  }
+
+  void Tick() {
+    BalancerOutput out;
+    this->balancer.Tick(MonotonicNow(), &out);
+    this->Carry(std::move(out));
+  }
+
+  void LogCounters() const {
+    const BalancerCounters& counters = this->balancer.Counters();
+    LogLine("entry_counters")
+        .Add("packets", counters.packets)
+        .Add("offers", counters.offers)
+        .Add("refused", counters.refused)
+        .Add("resets", counters.resets)
+        .Add("seeks", counters.seeks)
+        .Add("seeks_failed", counters.seeks_failed)
+        .Add("flows", this->balancer.FlowCount())
+        .Add("agents", this->balancer.Agents().Entries().size())
+        .Add("version", this->balancer.Listeners().Version());
+  }
+
+  const NodeSettings& settings;
+  const PlatformFormats& formats;
+  Runtime runtime;
+  SegmentBalancer balancer;
+  DatagramSocket packets;
+  DatagramSocket data;
+  HttpServer ready;
+  CoreLink link;
+  boost::asio::steady_timer seek_timer;
+  bool seek_armed = false;
+  bool draining = false;
+};
+
+}  // namespace
+
+Result<void> RunEntry(const NodeSettings& settings,
+                      const PlatformFormats& formats) {
+  EntryRole role(settings, formats);
+  return role.Run();
+}
+
+}  // namespace cornelhill
--- /dev/null
+++ b/src/daemon/node_socket.cc
@@ -0,0 +1,187 @@
+#include "cornelhill/daemon/node_socket.h"
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
+#include <map>
+#include <utility>
+#include <vector>
+#include <zmq.hpp>
+
+#include "cornelhill/base/log.h"
+
+namespace cornelhill {
+
+namespace {
+
+constexpr int kQueueMessages = 1000;
+constexpr int64_t kMaxMessageBytes = int64_t{4} << 20;
+// A silent connection is replaced before a core member counts an agent as gone.
+constexpr int kHeartbeatMs = 1000;
+constexpr int kHeartbeatTimeoutMs = 2500;
+constexpr int kConnectTimeoutMs = 1000;
+constexpr int kReconnectMs = 100;
+constexpr int kReconnectMaxMs = 800;
+
+std::string TcpAddress(const Endpoint& address) {
+  return "tcp://" + ToString(address);
+}
+
+void SetOptions(zmq::socket_t* socket) {
+  socket->set(zmq::sockopt::linger, 0);
+  socket->set(zmq::sockopt::sndhwm, kQueueMessages);
+  socket->set(zmq::sockopt::rcvhwm, kQueueMessages);
+  socket->set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  socket->set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
+  socket->set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+}
+
+}  // namespace
+
+struct NodeSocket::Impl {
+  // A ZeroMQ socket and the descriptor that tells when to look at it.
+  struct Watched {
+    Watched(boost::asio::io_context& io, zmq::socket_t from)
+        : socket(std::move(from)),
+          descriptor(io, this->socket.get(zmq::sockopt::fd)) {}
+    ~Watched() { this->descriptor.release(); }
+
+    zmq::socket_t socket;
+    boost::asio::posix::stream_descriptor descriptor;
+    bool check_posted = false;
+  };
+
+  boost::asio::io_context& io;
+  std::string identity;
+  Handler handler;
+  zmq::context_t context{1};
+  std::shared_ptr<Watched> router;
+  std::map<Endpoint, std::shared_ptr<Watched>> dealers;
+
+  // The descriptor is edge-triggered: every call on the socket may use up the
+  // edge, so the socket is read after each of them.
+  void CheckSoon(const std::shared_ptr<Watched>& watched,
+                 std::optional<Endpoint> address) {
+    if (watched->check_posted) return;
+    watched->check_posted = true;
+    boost::asio::post(this->io, [this, watched, address] {
+      watched->check_posted = false;
+      this->ReadAll(watched, address);
+    });
+  }
+
+  void Watch(const std::shared_ptr<Watched>& watched,
+             std::optional<Endpoint> address) {
+    watched->descriptor.async_wait(
+        boost::asio::posix::stream_descriptor::wait_read,
+        [this, watched, address](const boost::system::error_code& error) {
+          if (error) return;
+          this->ReadAll(watched, address);
+          if (watched->socket) this->Watch(watched, address);
+        });
+  }
+
+  void ReadAll(const std::shared_ptr<Watched>& watched,
+               std::optional<Endpoint> address) {
+    std::vector<zmq::message_t> parts;
+    while (watched->socket && this->Receive(&watched->socket, &parts)) {
+      const size_t expected = address.has_value() ? 1 : 2;
+      if (parts.size() != expected) continue;
+      Peer peer;
+      peer.address = address;
+      if (!address.has_value()) peer.routing_id = parts[0].to_string();
+      this->handler(peer, parts.back().to_string());
+    }
+  }
+
+  static bool Receive(zmq::socket_t* socket,
+                      std::vector<zmq::message_t>* parts) {
+    parts->clear();
+    do {
+      zmq::message_t part;
+      if (!socket->recv(part, zmq::recv_flags::dontwait)) return false;
+      parts->push_back(std::move(part));
+    } while (parts->back().more());
+    return true;
+  }
+
+  std::shared_ptr<Watched> DealerOf(const Endpoint& address) {
+    const auto found = this->dealers.find(address);
+    if (found != this->dealers.end()) return found->second;
+    zmq::socket_t socket(this->context, zmq::socket_type::dealer);
+    SetOptions(&socket);
+    socket.set(zmq::sockopt::routing_id, this->identity);
+    // Nothing is queued for a process that is not connected: a message that
+    // waited for seconds is of no use to it.
+    socket.set(zmq::sockopt::immediate, true);
+    socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+    socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+    socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+    socket.connect(TcpAddress(address));
+    auto watched = std::make_shared<Watched>(this->io, std::move(socket));
+    this->dealers[address] = watched;
+    this->Watch(watched, address);
+    return watched;
+  }
+};
+
+NodeSocket::NodeSocket(boost::asio::io_context& io, std::string identity,
+                       Handler handler)
+    : impl(new Impl{io, std::move(identity), std::move(handler)}) {}
+
+NodeSocket::~NodeSocket() {
+  this->Keep([](const Endpoint&) { return false; });
+  if (this->impl->router) this->impl->router->socket.close();
+}
+
+Result<void> NodeSocket::Bind(const Endpoint& address) {
+  zmq::socket_t socket(this->impl->context, zmq::socket_type::router);
+  SetOptions(&socket);
+  // A process that reconnects under its routing id replaces its old
+  // connection.
+  socket.set(zmq::sockopt::router_handover, true);
+  try {
+    socket.bind(TcpAddress(address));
+  } catch (const zmq::error_t& error) {
+    return Fail(ErrorCode::kIo,
+                "cannot listen on " + ToString(address) + ": " + error.what());
+  }
+  this->impl->router =
+      std::make_shared<Impl::Watched>(this->impl->io, std::move(socket));
+  this->impl->Watch(this->impl->router, std::nullopt);
+  return boost::outcome_v2::success();
+}
+
+void NodeSocket::Send(const Endpoint& address, const std::string& bytes) {
+  const std::shared_ptr<Impl::Watched> dealer = this->impl->DealerOf(address);
+  dealer->socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+  this->impl->CheckSoon(dealer, address);
+}
+
+void NodeSocket::Reply(const Peer& peer, const std::string& bytes) {
+  if (peer.address.has_value()) {
+    this->Send(*peer.address, bytes);
+    return;
+  }
+  if (!this->impl->router) return;
+  zmq::socket_t& router = this->impl->router->socket;
+  if (router.send(zmq::buffer(peer.routing_id),
+                  zmq::send_flags::sndmore | zmq::send_flags::dontwait)) {
+    router.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+  }
+  this->impl->CheckSoon(this->impl->router, std::nullopt);
+}
+
+void NodeSocket::Keep(const std::function<bool(const Endpoint&)>& wanted) {
+  for (auto item = this->impl->dealers.begin();
+       item != this->impl->dealers.end();) {
+    if (wanted(item->first)) {
+      ++item;
+      continue;
+    }
+    item->second->descriptor.cancel();
+    item->second->socket.close();
+    item = this->impl->dealers.erase(item);
+  }
+}
+
+}  // namespace cornelhill
--- /dev/null
+++ b/src/daemon/sidecar_role.cc
@@ -0,0 +1,243 @@
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "cornelhill/base/log.h"
+#include "cornelhill/daemon/core_link.h"
+#include "cornelhill/daemon/datagram_socket.h"
+#include "cornelhill/daemon/http_server.h"
+#include "cornelhill/daemon/node_roles.h"
+#include "cornelhill/daemon/runtime.h"
+#include "cornelhill/segment/segment_agent.h"
+
+namespace cornelhill {
+
+namespace {
+
+constexpr Millis kTickPeriod{1000};
+constexpr std::chrono::milliseconds kTrialTick{10};
+// Short work that has begun ends in this time; long flows are found again by
+// the next start.
+constexpr Millis kDrainPeriod{400};
+// An upstream that has missed three heartbeats and a half is not offered work.
+constexpr int64_t kMissedHeartbeatsTenths = 35;
+constexpr Millis kCountersPeriod{10000};
+
+SegmentAgentSettings AgentSettings(const NodeSettings& settings,
+                                   const PlatformFormats& formats) {
+  SegmentAgentSettings out;
+  out.address = settings.DataAddress();
+  out.service = settings.service;
+  out.failure_domain = settings.failure_domain;
+  out.format = formats.segment;
+  out.flow_lifetime = settings.flow_lifetime;
+  out.report_timeout =
+      Millis(settings.heartbeat.Count() * kMissedHeartbeatsTenths / 10);
+  return out;
+}
+
+class SidecarRole {
+ public:
+  SidecarRole(const NodeSettings& settings, const PlatformFormats& formats)
+      : settings(settings),
+        formats(formats),
+        agent(AgentSettings(settings, formats), MonotonicNow()),
+        data(runtime.Io()),
+        outbound(runtime.Io()),
+        reports(runtime.Io(), this->Handler()),
+        ready(runtime.Io(), this->Handler()),
+        link(runtime, settings,
+             {[this] { return this->MakeHello(); }, [](const Update&) {}}),
+        trial_timer(runtime.Io()) {}
+
+  Result<void> Run() {
+    BOOST_OUTCOME_TRY(this->data.Open(this->settings.DataAddress()));
+    BOOST_OUTCOME_TRY(this->outbound.Open(*this->settings.outbound));
+    BOOST_OUTCOME_TRY(this->reports.Listen(*this->settings.operators));
+    if (this->settings.ready.has_value()) {
+      BOOST_OUTCOME_TRY(this->ready.Listen(*this->settings.ready));
+    }
+    this->data.Start([this](Endpoint from, std::string_view bytes) {
+      this->OnData(from, bytes);
+    });
+    this->outbound.Start([this](Endpoint, std::string_view bytes) {
+      SegmentAgentOutput out;
+      this->agent.OnUpstream(MonotonicNow(), std::string(bytes), &out);
+      this->Carry(std::move(out));
+    });
+    this->link.Start();
+    this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
+    this->runtime.Every(kCountersPeriod, [this] { this->LogState(); });
+    this->runtime.OnDrain([this] {
+      this->agent.Drain();
+      this->link.SayHello();
+      this->runtime.Every(kDrainPeriod, [this] { this->runtime.Stop(); });
+    });
+    LogLine("process_started")
+        .Add("role", "sidecar")
+        .Add("service", this->settings.service)
+        .Add("upstream", ToString(*this->settings.upstream))
+        .Add("data", ToString(this->settings.DataAddress()));
+    this->runtime.Run();
+    LogLine("process_stopped").Add("role", "sidecar");
+    return boost::outcome_v2::success();
+  }
+
+ private:
+  HttpServer::Handler Handler() {
+    return
+        [this](const HttpRequest& request, const HttpServer::Respond& respond) {
+          this->OnRequest(request, respond);
+        };
+  }
+
+  Hello MakeHello() const {
+    Hello hello;
+    hello.address = this->settings.DataAddress();
+    hello.failure_domain = this->settings.failure_domain;
+    hello.agent.push_back(this->agent.Record(MonotonicNow()));
+    return hello;
+  }
+
+  void OnRequest(const HttpRequest& request,
+                 const HttpServer::Respond& respond) {
+    const ApiRequest call = this->formats.api.read(request);
+    if (const auto* report = std::get_if<UpstreamReport>(&call)) {
+      this->OnReport(*report, respond);
+    } else if (const auto* left = std::get_if<UpstreamLeft>(&call)) {
+      this->agent.OnLeave(left->id);
+      this->link.SayHello();
+      LogLine("upstream_left").Add("upstream", left->id);
+      respond({200, "{}", {}});
+    } else if (std::holds_alternative<ReadyQuery>(call)) {
+      respond({200, {}, {}});
+    } else if (const auto* refusal = std::get_if<ApiRefusal>(&call)) {
+      LogLine("request_refused")
+          .Warn()
+          .Add("target", request.target.substr(0, 100))
+          .Add("detail", refusal->message);
+      respond({refusal->status, this->formats.api.error(refusal->message), {}});
+    } else {
+      respond({404, this->formats.api.error("not served here"), {}});
+    }
+  }
+
+  void OnReport(const UpstreamReport& report,
+                const HttpServer::Respond& respond) {
+    if (report.service != this->settings.service) {
+      LogLine("report_refused")
+          .Warn()
+          .Add("upstream", report.id)
+          .Add("service", report.service);
+      respond({400,
+               this->formats.api.error("upstream is of another service than " +
+                                       this->settings.service),
+               {}});
+      return;
+    }
+    const Millis now = MonotonicNow();
+    const UpstreamState before = this->agent.State(now);
+    const bool taken = this->agent.OnReport(now, report);
+    respond({200, "{}", {}});
+    const UpstreamState after = this->agent.State(now);
+    if (before == after && taken) return;
+    LogLine(taken ? "upstream_state" : "report_outdated")
+        .Add("upstream", report.id)
+        .Add("incarnation", report.incarnation.Value())
+        .Add("sequence", report.sequence)
+        .Add("from", ToString(before))
+        .Add("to", ToString(after));
+    this->link.SayHello();
+  }
+
+  void OnData(const Endpoint& from, std::string_view bytes) {
+    Result<SegmentMessage> message = DecodeSegmentMessage(bytes);
+    if (!message.has_value()) {
+      LogLine("message_dropped")
+          .Warn()
+          .Add("from", ToString(from))
+          .Add("detail", message.error().message);
+      return;
+    }
+    SegmentAgentOutput out;
+    this->agent.OnBalancer(MonotonicNow(), from, std::move(message.value()),
+                           &out);
+    this->Carry(std::move(out));
+  }
+
+  void Carry(SegmentAgentOutput out) {
+    for (const std::string& datagram : out.upstream) {
+      this->outbound.Send(*this->settings.upstream, datagram);
+    }
+    for (const SegmentAgentOutput::ToCaller& send : out.callers) {
+      this->data.Send({send.caller.address, this->settings.packets->port},
+                      send.datagram);
+    }
+    for (const SegmentAgentOutput::ToBalancer& send : out.balancers) {
+      this->data.Send(send.to, Encode(send.message));
+    }
+    for (const AgentDecision& decision : out.decisions) Log(decision);
+    if (this->agent.Trying()) this->ArmTrialTimer();
+  }
+
+  static void Log(const AgentDecision& decision) {
+    if (decision.kind == AgentDecisionKind::kFlowAccepted) return;
+    LogLine line(ToString(decision.kind));
+    line.Add("caller", ToString(decision.flow.caller))
+        .Add("listener", ToString(decision.flow.listener));
+    if (decision.refusal != OfferRefusal::kNone) {
+      line.Add("refusal", ToString(decision.refusal));
+    }
+    line.Add("state", ToString(decision.state))
+        .Add("busy", decision.busy)
+        .Add("report_age_ms", decision.report_age.Count());
+  }
+
+  void ArmTrialTimer() {
+    if (this->trial_armed) return;
+    this->trial_armed = true;
+    this->trial_timer.expires_after(kTrialTick);
+    this->trial_timer.async_wait(
+        [this](const boost::system::error_code& error) {
+          if (error) return;
+          this->trial_armed = false;
+          this->Tick();
+        });
+  }
+
+  void Tick() {
+    SegmentAgentOutput out;
+    this->agent.Tick(MonotonicNow(), &out);
+    this->Carry(std::move(out));
+  }
+
+  void LogState() const {
+    LogLine("sidecar_state")
+        .Add("state", ToString(this->agent.State(MonotonicNow())))
+        .Add("open", this->agent.OpenFlows())
+        .Add("busy", this->agent.BusyFlows());
+  }
+
+  const NodeSettings& settings;
+  const PlatformFormats& formats;
+  Runtime runtime;
+  SegmentAgent agent;
+  DatagramSocket data;
+  DatagramSocket outbound;
+  HttpServer reports;
+  HttpServer ready;
+  CoreLink link;
+  boost::asio::steady_timer trial_timer;
+  bool trial_armed = false;
+};
+
+}  // namespace
+
+Result<void> RunSidecar(const NodeSettings& settings,
+                        const PlatformFormats& formats) {
+  SidecarRole role(settings, formats);
+  return role.Run();
+}
+
+}  // namespace cornelhill
--- /dev/null
+++ b/src/segment/listener_table.cc
@@ -0,0 +1,100 @@
+#include "cornelhill/segment/listener_table.h"
+
+#include <functional>
+#include <set>
+
+namespace cornelhill {
+
+bool ListenerTable::Apply(const ListenerSet& set) {
+  if (set.version <= this->version) return false;
+  std::set<Endpoint> present;
+  for (const Listener& listener : set.listeners) {
+    present.insert(listener.address);
+    Entry& entry = this->entries[listener.address];
+    if (entry.changed != 0 && entry.listener == listener) continue;
+    entry = {listener, set.version};
+    this->removed.erase(listener.address);
+  }
+  std::vector<Endpoint> gone;
+  for (const auto& [address, entry] : this->entries) {
+    if (!present.contains(address)) gone.push_back(address);
+  }
+  for (const Endpoint& address : gone) this->Remove(address, set.version);
+  if (this->version == 0) this->floor = set.version;
+  this->version = set.version;
+  return true;
+}
+
+void ListenerTable::Remove(const Endpoint& address, uint64_t at) {
+  this->entries.erase(address);
+  if (this->removed.size() >= kKeptRemovals) {
+    this->removed.clear();
+    this->floor = at;
+    return;
+  }
+  this->removed[address] = at;
+}
+
+bool ListenerTable::Apply(const ListenerDelta& delta) {
+  if (delta.to <= this->version || delta.base > this->version) return false;
+  if (delta.base == 0) {
+    this->entries.clear();
+    this->removed.clear();
+    this->floor = delta.to;
+  }
+  for (const ListenerChange& change : delta.changes) {
+    if (change.removed) {
+      this->Remove(change.listener.address, change.changed);
+    } else {
+      this->entries[change.listener.address] = {change.listener,
+                                                change.changed};
+      this->removed.erase(change.listener.address);
+    }
+  }
+  this->version = delta.to;
+  return true;
+}
+
+const Listener* ListenerTable::Find(const Endpoint& address) const {
+  const auto found = this->entries.find(address);
+  return found == this->entries.end() ? nullptr : &found->second.listener;
+}
+
+uint64_t ListenerTable::ChangedAt(const Endpoint& address) const {
+  const auto found = this->entries.find(address);
+  if (found != this->entries.end()) return found->second.changed;
+  const auto gone = this->removed.find(address);
+  return gone == this->removed.end() ? 0 : gone->second;
+}
+
+ListenerDelta ListenerTable::DeltaSince(uint64_t from) const {
+  const bool whole = from == 0 || from < this->floor;
+  ListenerDelta delta{whole ? 0 : from, this->version, {}};
+  for (const auto& [address, entry] : this->entries) {
+    if (!whole && entry.changed <= from) continue;
+    delta.changes.push_back({entry.listener, entry.changed, false});
+  }
+  if (whole) return delta;
+  for (const auto& [address, at] : this->removed) {
+    if (at <= from) continue;
+    Listener listener;
+    listener.address = address;
+    delta.changes.push_back({listener, at, true});
+  }
+  return delta;
+}
+
+ServiceKey ListenerTable::PickService(const Listener& listener,
+                                      const SegmentFlow& flow) {
+  uint64_t total = 0;
+  for (const ListenerShare& share : listener.shares) total += share.weight;
+  if (total == 0) return {};
+  uint64_t point = std::hash<SegmentFlow>()(flow) % total;
+  for (const ListenerShare& share : listener.shares) {
+    if (point < share.weight) return share.service;
+    point -= share.weight;
+  }
+  return {};
+}
+
+}  // namespace cornelhill
--- /dev/null
+++ b/src/segment/segment_agent.cc
@@ -0,0 +1,440 @@
+#include "cornelhill/segment/segment_agent.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace cornelhill {
+
+namespace {
+
+// The upstream returns a packet within a millisecond; the rest allows for an
+// agent that was not scheduled in between.
+constexpr Millis kTrialPeriod{25};
+// A caller copies its first packet after 200 ms. An upstream that has not
+// replied by then is taken to be down.
+constexpr Millis kFirstReplyTimeout{150};
+// A caller gives up opening a flow after 1.4 s.
+constexpr Millis kOpeningLifetime{1500};
+// Listeners close flows that idle for 15 s.
+constexpr Millis kFlowIdle{20000};
+// The last acknowledgements of a closed flow, and its retransmissions.
+constexpr Millis kClosedLinger{4000};
+constexpr Millis kSweepPeriod{1000};
+// Requests of the sites run for at most 180 ms and time out after 5 s.
+constexpr Millis kBusyLifetime{5000};
+// The first report of an upstream states sequence 0 or 1.
+constexpr uint64_t kFirstReportSequence = 1;
+
+bool IsAfter(uint32_t sequence, uint32_t reference) {
+  return static_cast<int32_t>(sequence - reference) > 0;
+}
+
+}  // namespace
+
+std::string_view ToString(AgentDecisionKind kind) {
+  static constexpr std::array<std::string_view, kAgentDecisionKindCount>
+      kNames = {"flow_accepted", "offer_refused", "flow_adopted",
+                "flow_returned", "flow_lost",     "malformed"};
+  return kNames.at(static_cast<size_t>(kind));
+}
+
+SegmentAgent::SegmentAgent(SegmentAgentSettings settings, Millis now)
+    : settings(std::move(settings)),
+      service(ServiceKeyOf(this->settings.service)),
+      started(now) {}
+
+bool SegmentAgent::OnReport(Millis now, const UpstreamReport& next) {
+  if (this->report.has_value()) {
+    const UpstreamReport& last = *this->report;
+    if (next.incarnation < last.incarnation) return false;
+    if (next.incarnation == last.incarnation && next.sequence < last.sequence) {
+      return false;
+    }
+    // An upstream that leaves does not come back under the same start.
+    if (next.incarnation == last.incarnation && next.id == last.id &&
+        last.state != UpstreamState::kReady &&
+        next.state == UpstreamState::kReady) {
+      this->reported_at = now;
+      this->report->sequence = next.sequence;
+      return true;
+    }
+    if (next.incarnation > last.incarnation) this->joined_late = false;
+  } else {
+    this->joined_late = next.sequence > kFirstReportSequence;
+  }
+  this->report = next;
+  this->reported_at = now;
+  return true;
+}
+
+void SegmentAgent::OnLeave(const std::string& id) {
+  if (!this->report.has_value() || this->report->id != id) return;
+  this->report->state = UpstreamState::kGone;
+}
+
+UpstreamState SegmentAgent::State(Millis now) const {
+  if (!this->report.has_value()) return UpstreamState::kUnknown;
+  if (now - this->reported_at > this->settings.report_timeout) {
+    return UpstreamState::kUnknown;
+  }
+  if (this->draining && this->report->state == UpstreamState::kReady) {
+    return UpstreamState::kDraining;
+  }
+  return this->report->state;
+}
+
+bool SegmentAgent::Recovering(Millis now) const {
+  return this->joined_late &&
+         now - this->started < this->settings.flow_lifetime &&
+         this->State(now) != UpstreamState::kUnknown;
+}
+
+size_t SegmentAgent::OpenFlows() const {
+  return static_cast<size_t>(
+      std::count_if(this->flows.begin(), this->flows.end(), [](const auto& f) {
+        return !f.second.declined && !f.second.caller_closed &&
+               !f.second.upstream_closed;
+      }));
+}
+
+uint32_t SegmentAgent::LoadMilli() const {
+  const uint32_t slots =
+      this->report.has_value() ? this->report->slots : uint32_t{1};
+  return (this->busy + this->opening) * 1000 / std::max(slots, 1U);
+}
+
+AgentRecord SegmentAgent::Record(Millis now) const {
+  AgentRecord record;
+  record.address = this->settings.address;
+  record.service = this->service;
+  record.failure_domain = this->settings.failure_domain;
+  record.state = this->State(now);
+  if (this->report.has_value()) {
+    record.incarnation = this->report->incarnation;
+    record.slots = std::max(this->report->slots, 1U);
+  }
+  record.load_milli = this->LoadMilli();
+  record.open_flows = static_cast<uint32_t>(this->OpenFlows());
+  return record;
+}
+
+void SegmentAgent::OnBalancer(Millis now, const Endpoint& from,
+                              SegmentMessage message, SegmentAgentOutput* out) {
+  const Result<Segment> read = this->settings.format.read(message.datagram);
+  if (!read.has_value()) {
+    out->decisions.push_back({AgentDecisionKind::kMalformed});
+    return;
+  }
+  const Segment segment = read.value();
+  if (message.kind == SegmentMessageKind::kOffer) {
+    this->OnOffer(now, from, std::move(message), segment, out);
+  } else if (message.kind == SegmentMessageKind::kDeliver ||
+             message.kind == SegmentMessageKind::kSeek) {
+    this->OnPacketOfFlow(now, from, std::move(message), segment, out);
+  }
+}
+
+void SegmentAgent::OnOffer(Millis now, const Endpoint& from,
+                           SegmentMessage message, const Segment& segment,
+                           SegmentAgentOutput* out) {
+  const SegmentFlow flow{segment.source, segment.destination};
+  const OfferRefusal refusal = this->CheckOffer(now, message, segment);
+  AgentDecision decision{AgentDecisionKind::kFlowAccepted,
+                         flow,
+                         refusal,
+                         this->State(now),
+                         this->busy,
+                         now - this->reported_at,
+                         from};
+  if (refusal != OfferRefusal::kNone) {
+    decision.kind = AgentDecisionKind::kOfferRefused;
+    out->decisions.push_back(decision);
+    const auto found = this->flows.find(flow);
+    if (found != this->flows.end() && refusal == OfferRefusal::kUnresponsive) {
+      this->SetBusy(&found->second, false);
+      if (!found->second.opened) --this->opening;
+      found->second.opened = true;
+      found->second.declined = true;
+    }
+    message.kind = SegmentMessageKind::kRefused;
+    message.refusal = refusal;
+    this->Reply(now, from, std::move(message), out);
+    return;
+  }
+  uint64_t& change = this->listener_changes[flow.listener];
+  change = std::max(change, message.listener_change);
+  const auto found = this->flows.find(flow);
+  const bool copy = found != this->flows.end() &&
+                    found->second.first_sequence == segment.sequence &&
+                    found->second.first_known && !found->second.declined;
+  if (!copy) {
+    this->Forget(flow);
+    Flow& added = this->flows[flow];
+    added.first_sequence = segment.sequence;
+    added.first_known = true;
+    added.data_end = segment.sequence;
+    added.incarnation = this->report->incarnation;
+    added.opened_at = now;
+    added.tries = message.tries;
+    ++this->opening;
+    out->decisions.push_back(decision);
+  }
+  Flow& state = this->flows[flow];
+  state.balancer = from;
+  state.seen = now;
+  SegmentMessage taken;
+  taken.kind = SegmentMessageKind::kLoad;
+  taken.flow = flow;
+  this->ToUpstream(std::move(message.datagram), out);
+  this->Reply(now, from, std::move(taken), out);
+}
+
+OfferRefusal SegmentAgent::CheckOffer(Millis now, const SegmentMessage& message,
+                                      const Segment& segment) const {
+  const SegmentFlow flow{segment.source, segment.destination};
+  const auto found = this->flows.find(flow);
+  if (found != this->flows.end() && found->second.first_known &&
+      found->second.first_sequence == segment.sequence &&
+      !found->second.declined) {
+    const Flow& state = found->second;
+    if (!state.accepted && now - state.opened_at > kFirstReplyTimeout) {
+      return OfferRefusal::kUnresponsive;
+    }
+    return OfferRefusal::kNone;
+  }
+  if (message.service != this->service) return OfferRefusal::kWrongService;
+  const auto change = this->listener_changes.find(flow.listener);
+  if (change != this->listener_changes.end() &&
+      message.listener_change < change->second) {
+    return OfferRefusal::kStale;
+  }
+  if (this->State(now) != UpstreamState::kReady) return OfferRefusal::kNotReady;
+  const uint32_t slots = std::max(this->report->slots, 1U);
+  if (message.tries == 0 && this->busy + this->opening > slots) {
+    return OfferRefusal::kBusy;
+  }
+  return OfferRefusal::kNone;
+}
+
+void SegmentAgent::OnPacketOfFlow(Millis now, const Endpoint& from,
+                                  SegmentMessage message,
+                                  const Segment& segment,
+                                  SegmentAgentOutput* out) {
+  const SegmentFlow flow{segment.source, segment.destination};
+  const auto found = this->flows.find(flow);
+  const bool sought = message.kind == SegmentMessageKind::kSeek;
+  if (found != this->flows.end() && !found->second.declined) {
+    Flow& state = found->second;
+    state.balancer = from;
+    this->NoteCallerPacket(now, segment, &state);
+    this->ToUpstream(std::move(message.datagram), out);
+    if (!sought) return;
+    SegmentMessage held;
+    held.kind = SegmentMessageKind::kHeld;
+    held.flow = flow;
+    this->Reply(now, from, std::move(held), out);
+    return;
+  }
+  if (found == this->flows.end() && this->Recovering(now)) {
+    this->Try(now, flow, from, std::move(message), out);
+    return;
+  }
+  if (sought) return;
+  message.kind = SegmentMessageKind::kNotHeld;
+  this->Reply(now, from, std::move(message), out);
+}
+
+void SegmentAgent::Try(Millis now, const SegmentFlow& flow,
+                       const Endpoint& from, SegmentMessage message,
+                       SegmentAgentOutput* out) {
+  const bool sought = message.kind == SegmentMessageKind::kSeek;
+  const auto [found, added] = this->trials.try_emplace(flow);
+  if (!added) return;  // The sender repeats the packet.
+  found->second = {from, now + kTrialPeriod, message.datagram, sought};
+  this->ToUpstream(std::move(message.datagram), out);
+}
+
+void SegmentAgent::ToUpstream(std::string datagram, SegmentAgentOutput* out) {
+  out->upstream.push_back(std::move(datagram));
+}
+
+void SegmentAgent::OnUpstream(Millis now, std::string datagram,
+                              SegmentAgentOutput* out) {
+  const Result<Segment> read = this->settings.format.read(datagram);
+  if (!read.has_value()) {
+    out->decisions.push_back({AgentDecisionKind::kMalformed});
+    return;
+  }
+  const Segment& segment = read.value();
+  if (segment.returned) {
+    this->OnReturned(now, segment, std::move(datagram), out);
+    return;
+  }
+  const SegmentFlow flow{segment.destination, segment.source};
+  const auto found = this->flows.find(flow);
+  Flow& state =
+      found == this->flows.end() ? this->Adopt(now, flow, out) : found->second;
+  if (state.declined) return;
+  state.seen = now;
+  if (segment.opens && segment.accepts) state.accepted = true;
+  if (segment.data_bytes > 0) this->SetBusy(&state, false);
+  if (segment.closes || segment.resets) state.upstream_closed = true;
+  out->callers.push_back({flow.caller, std::move(datagram)});
+}
+
+SegmentAgent::Flow& SegmentAgent::Adopt(Millis now, const SegmentFlow& flow,
+                                        SegmentAgentOutput* out) {
+  this->trials.erase(flow);
+  Flow& state = this->flows[flow];
+  state.accepted = true;
+  state.opened = true;
+  state.opened_at = now;
+  state.seen = now;
+  if (this->report.has_value()) {
+    state.incarnation = this->report->incarnation;
+  }
+  AgentDecision decision{AgentDecisionKind::kFlowAdopted, flow};
+  decision.state = this->State(now);
+  out->decisions.push_back(decision);
+  return state;
+}
+
+void SegmentAgent::OnReturned(Millis now, const Segment& segment,
+                              std::string datagram, SegmentAgentOutput* out) {
+  const SegmentFlow flow{segment.source, segment.destination};
+  this->settings.format.mark(0, &datagram);
+  if (segment.opens && !segment.accepts) {
+    this->OnReturnedFirst(now, flow, std::move(datagram), out);
+    return;
+  }
+  const auto trial = this->trials.find(flow);
+  if (trial != this->trials.end()) {
+    const Endpoint balancer = trial->second.balancer;
+    const bool sought = trial->second.sought;
+    this->trials.erase(trial);
+    if (sought) return;
+    SegmentMessage message;
+    message.kind = SegmentMessageKind::kNotHeld;
+    message.datagram = std::move(datagram);
+    this->Reply(now, balancer, std::move(message), out);
+    return;
+  }
+  const auto found = this->flows.find(flow);
+  if (found == this->flows.end()) return;
+  const Flow state = found->second;
+  const bool lost =
+      this->report.has_value() && state.incarnation < this->report->incarnation;
+  this->Forget(flow);
+  AgentDecision decision{AgentDecisionKind::kFlowReturned, flow};
+  decision.balancer = state.balancer;
+  if (lost) {
+    decision.kind = AgentDecisionKind::kFlowLost;
+    out->callers.push_back(
+        {flow.caller, this->settings.format.reset(flow.listener, flow.caller,
+                                                  segment.acknowledged)});
+  } else if (state.balancer != Endpoint()) {
+    SegmentMessage message;
+    message.kind = SegmentMessageKind::kNotHeld;
+    message.datagram = std::move(datagram);
+    this->Reply(now, state.balancer, std::move(message), out);
+  }
+  out->decisions.push_back(decision);
+}
+
+void SegmentAgent::OnReturnedFirst(Millis now, const SegmentFlow& flow,
+                                   std::string datagram,
+                                   SegmentAgentOutput* out) {
+  const auto found = this->flows.find(flow);
+  if (found == this->flows.end() || found->second.accepted) return;
+  const Endpoint balancer = found->second.balancer;
+  const uint32_t tries = found->second.tries;
+  this->Forget(flow);
+  AgentDecision decision{AgentDecisionKind::kOfferRefused,
+                         flow,
+                         OfferRefusal::kFull,
+                         this->State(now),
+                         this->busy,
+                         now - this->reported_at,
+                         balancer};
+  out->decisions.push_back(decision);
+  SegmentMessage message;
+  message.kind = SegmentMessageKind::kRefused;
+  message.refusal = OfferRefusal::kFull;
+  message.datagram = std::move(datagram);
+  message.service = this->service;
+  message.tries = tries;
+  this->Reply(now, balancer, std::move(message), out);
+}
+
+void SegmentAgent::Reply(Millis now, const Endpoint& to, SegmentMessage message,
+                         SegmentAgentOutput* out) {
+  message.load_milli = this->LoadMilli();
+  message.open_flows = static_cast<uint32_t>(this->OpenFlows());
+  message.state = this->State(now);
+  out->balancers.push_back({to, std::move(message)});
+}
+
+void SegmentAgent::NoteCallerPacket(Millis now, const Segment& segment,
+                                    Flow* flow) {
+  flow->seen = now;
+  if (!flow->opened) {
+    flow->opened = true;
+    --this->opening;
+  }
+  if (segment.closes || segment.resets) flow->caller_closed = true;
+  if (segment.data_bytes == 0) return;
+  const uint32_t end = segment.sequence + segment.data_bytes;
+  if (flow->data_seen && !IsAfter(end, flow->data_end)) return;
+  flow->data_seen = true;
+  flow->data_end = end;
+  this->SetBusy(flow, true);
+}
+
+void SegmentAgent::SetBusy(Flow* flow, bool is_busy) {
+  if (flow->busy == is_busy) return;
+  flow->busy = is_busy;
+  this->busy += is_busy ? 1 : -1;
+}
+
+void SegmentAgent::Forget(const SegmentFlow& flow) {
+  const auto found = this->flows.find(flow);
+  if (found == this->flows.end()) return;
+  this->SetBusy(&found->second, false);
+  if (!found->second.opened) --this->opening;
+  this->flows.erase(found);
+}
+
+void SegmentAgent::Tick(Millis now, SegmentAgentOutput* out) {
+  std::vector<SegmentFlow> kept;
+  for (const auto& [flow, trial] : this->trials) {
+    if (now >= trial.until) kept.push_back(flow);
+  }
+  for (const SegmentFlow& flow : kept) {
+    const Trial trial = this->trials.at(flow);
+    Flow& state = this->Adopt(now, flow, out);
+    state.balancer = trial.balancer;
+    SegmentMessage held;
+    held.kind = SegmentMessageKind::kHeld;
+    held.flow = flow;
+    this->Reply(now, trial.balancer, std::move(held), out);
+  }
+  if (now < this->next_sweep) return;
+  this->next_sweep = now + kSweepPeriod;
+  std::vector<SegmentFlow> gone;
+  for (auto& [flow, state] : this->flows) {
+    const Millis idle = now - state.seen;
+    const bool ended =
+        state.declined || (state.caller_closed && state.upstream_closed);
+    if (!state.opened && now - state.opened_at > kOpeningLifetime) {
+      gone.push_back(flow);
+    } else if (idle > (ended ? kClosedLinger : kFlowIdle)) {
+      gone.push_back(flow);
+    } else if (state.busy && idle > kBusyLifetime) {
+      this->SetBusy(&state, false);
+    }
+  }
+  for (const SegmentFlow& flow : gone) this->Forget(flow);
+}
+
+}  // namespace cornelhill
--- /dev/null
+++ b/src/segment/segment_balancer.cc
@@ -0,0 +1,364 @@
+#include "cornelhill/segment/segment_balancer.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <utility>
+
+namespace cornelhill {
+
+namespace {
+
+// Offers for one first packet; each costs a round trip to an agent.
+constexpr uint32_t kMaxOffers = 5;
+// Packets of one flow that wait while its owner is sought: a sender's window.
+constexpr size_t kMaxHeldPackets = 16;
+// Agents that serve the flow's listener now are asked first. Two round trips
+// between failure domains of 5 ms pass before all others are asked.
+constexpr Millis kSeekWiden{25};
+// A recovering agent answers 25 ms after the packet reached its upstream.
+constexpr Millis kSeekTimeout{120};
+// A flow that was idle for longer than this is sought again when it goes on;
+// listeners close flows that idle for 15 s.
+constexpr Millis kFlowIdle{20000};
+constexpr Millis kSweepPeriod{1000};
+// Offers that an agent has not replied to count as load for this long.
+constexpr Millis kOfferMemory{100};
+// An agent that refused is not offered new flows for this long, unless it says
+// before that it is ready.
+constexpr Millis kAvoidNotReady{1500};
+constexpr Millis kAvoidFull{100};
+// Weight of another failure domain, in busy requests per slot: its link adds
+// two to six milliseconds to each round trip and its bytes are paid for.
+constexpr double kRemoteDomain = 0.6;
+// Expected busy requests of one open flow: a caller asks about once a second
+// for work of 13 to 26 ms.
+constexpr double kOpenFlowLoad = 0.02;
+
+}  // namespace
+
+std::string_view ToString(BalancerEventKind kind) {
+  static constexpr std::array<std::string_view, kBalancerEventKindCount>
+      kNames = {"no_listener",  "no_agent",    "offer_refused", "not_held",
+                "seek_started", "seek_failed", "malformed"};
+  return kNames.at(static_cast<size_t>(kind));
+}
+
+SegmentBalancer::SegmentBalancer(SegmentBalancerSettings settings)
+    : settings(std::move(settings)) {}
+
+bool SegmentBalancer::OnUpdate(Millis now, const Update& update) {
+  for (const AgentRecord& record : update.agents) {
+    if (this->agents.Merge(now, record) &&
+        record.state == UpstreamState::kReady) {
+      this->standings[record.address].avoid_until = now;
+    }
+  }
+  return this->listeners.Apply(update.listeners);
+}
+
+bool SegmentBalancer::CanServe() const {
+  if (this->listeners.Version() == 0) return false;
+  return std::any_of(this->agents.Entries().begin(),
+                     this->agents.Entries().end(), [](const auto& item) {
+                       return item.second.record.state == UpstreamState::kReady;
+                     });
+}
+
+void SegmentBalancer::OnPacket(Millis now, std::string_view datagram,
+                               BalancerOutput* out) {
+  ++this->counters.packets;
+  const Result<Segment> read = this->settings.format.read(datagram);
+  if (!read.has_value()) {
+    out->events.push_back({BalancerEventKind::kMalformed});
+    return;
+  }
+  const Segment& segment = read.value();
+  const SegmentFlow flow{segment.source, segment.destination};
+  if (segment.opens && !segment.accepts) {
+    this->OnFirstPacket(now, flow, segment, datagram, out);
+    return;
+  }
+  const auto found = this->flows.find(flow);
+  if (found != this->flows.end()) {
+    found->second.seen = now;
+    SegmentMessage message;
+    message.kind = SegmentMessageKind::kDeliver;
+    message.datagram = datagram;
+    out->agents.push_back({found->second.owner, std::move(message)});
+    return;
+  }
+  this->StartSeek(now, flow, std::string(datagram), std::nullopt, out);
+}
+
+void SegmentBalancer::OnFirstPacket(Millis now, const SegmentFlow& flow,
+                                    const Segment& segment,
+                                    std::string_view datagram,
+                                    BalancerOutput* out) {
+  const auto found = this->flows.find(flow);
+  if (found != this->flows.end() &&
+      found->second.first_sequence == segment.sequence &&
+      this->agents.Find(found->second.owner) != nullptr) {
+    found->second.seen = now;
+    this->Offer(now, flow, found->second, std::string(datagram), out);
+    return;
+  }
+  this->Place(now, flow, segment.sequence, std::string(datagram), 0,
+              std::nullopt, out);
+}
+
+void SegmentBalancer::Place(Millis now, const SegmentFlow& flow,
+                            uint32_t first_sequence, std::string datagram,
+                            uint32_t tries, std::optional<Endpoint> except,
+                            BalancerOutput* out) {
+  const Listener* listener = this->listeners.Find(flow.listener);
+  if (listener == nullptr) {
+    if (this->listeners.Version() == 0) return;
+    this->Reset(flow, {BalancerEventKind::kNoListener, flow}, out);
+    return;
+  }
+  const ServiceKey service = ListenerTable::PickService(*listener, flow);
+  const std::optional<Endpoint> agent =
+      tries < kMaxOffers ? this->ChooseAgent(now, service, except)
+                         : std::nullopt;
+  if (!agent.has_value()) {
+    BalancerEvent event{BalancerEventKind::kNoAgent, flow};
+    event.tries = tries;
+    this->Reset(flow, event, out);
+    return;
+  }
+  if (this->flows.size() >= this->settings.max_flows &&
+      !this->flows.contains(flow)) {
+    this->flows.erase(this->flows.begin());
+  }
+  Flow& state = this->flows[flow];
+  state = {*agent, now, first_sequence,
+           this->listeners.ChangedAt(flow.listener), tries};
+  this->Offer(now, flow, state, std::move(datagram), out);
+}
+
+std::optional<Endpoint> SegmentBalancer::ChooseAgent(
+    Millis now, ServiceKey service, std::optional<Endpoint> except) {
+  std::optional<Endpoint> best;
+  double best_score = std::numeric_limits<double>::max();
+  for (const auto& [address, entry] : this->agents.Entries()) {
+    if (entry.record.service != service || address == except) continue;
+    if (entry.record.state != UpstreamState::kReady) continue;
+    const double score = this->Score(now, entry);
+    if (score >= best_score) continue;
+    best = address;
+    best_score = score;
+  }
+  return best;
+}
+
+double SegmentBalancer::Score(Millis now, const AgentDirectory::Entry& entry) {
+  Standing& standing = this->standings[entry.record.address];
+  if (now - standing.last_offer > kOfferMemory) standing.unanswered_offers = 0;
+  const double slots = entry.record.slots;
+  double score = entry.record.load_milli / 1000.0;
+  score += standing.unanswered_offers / slots;
+  score += kOpenFlowLoad * entry.record.open_flows / slots;
+  if (entry.record.failure_domain != this->settings.failure_domain) {
+    score += kRemoteDomain;
+  }
+  // Still better than no agent at all.
+  if (now < standing.avoid_until) score += 1000;
+  return score;
+}
+
+void SegmentBalancer::Offer(Millis now, const SegmentFlow& flow,
+                            const Flow& state, std::string datagram,
+                            BalancerOutput* out) {
+  const Listener* listener = this->listeners.Find(flow.listener);
+  SegmentMessage message;
+  message.kind = SegmentMessageKind::kOffer;
+  message.datagram = std::move(datagram);
+  message.service = listener == nullptr
+                        ? ServiceKey()
+                        : ListenerTable::PickService(*listener, flow);
+  message.listener_change = state.listener_change;
+  message.tries = state.tries;
+  Standing& standing = this->standings[state.owner];
+  ++standing.unanswered_offers;
+  standing.last_offer = now;
+  ++this->counters.offers;
+  out->agents.push_back({state.owner, std::move(message)});
+}
+
+void SegmentBalancer::Reset(const SegmentFlow& flow, BalancerEvent event,
+                            BalancerOutput* out) {
+  this->flows.erase(flow);
+  ++this->counters.resets;
+  event.reset = true;
+  out->callers.push_back({flow.caller, this->settings.format.reset(
+                                           flow.listener, flow.caller, 0)});
+  out->events.push_back(event);
+}
+
+void SegmentBalancer::StartSeek(Millis now, const SegmentFlow& flow,
+                                std::string datagram,
+                                std::optional<Endpoint> except,
+                                BalancerOutput* out) {
+  const auto [found, added] = this->seeks.try_emplace(flow);
+  Seek& seek = found->second;
+  if (seek.held.size() < kMaxHeldPackets) {
+    seek.held.push_back(std::move(datagram));
+  }
+  if (!added) return;
+  seek.started = now;
+  seek.except = except;
+  ++this->counters.seeks;
+  out->events.push_back({BalancerEventKind::kSeekStarted, flow});
+  this->SendSeek(flow, &seek, false, out);
+}
+
+void SegmentBalancer::SendSeek(const SegmentFlow& flow, Seek* seek, bool wide,
+                               BalancerOutput* out) {
+  const Listener* listener = this->listeners.Find(flow.listener);
+  const auto serves = [listener](const AgentRecord& record) {
+    return listener != nullptr &&
+           std::any_of(listener->shares.begin(), listener->shares.end(),
+                       [&record](const ListenerShare& share) {
+                         return share.service == record.service;
+                       });
+  };
+  seek->widened = seek->widened || wide || listener == nullptr;
+  for (const auto& [address, entry] : this->agents.Entries()) {
+    if (address == seek->except) continue;
+    if (listener != nullptr && serves(entry.record) == wide) continue;
+    SegmentMessage message;
+    message.kind = SegmentMessageKind::kSeek;
+    message.datagram = seek->held.front();
+    out->agents.push_back({address, std::move(message)});
+  }
+}
+
+void SegmentBalancer::OnAgent(Millis now, const Endpoint& from,
+                              SegmentMessage message, BalancerOutput* out) {
+  this->LearnLoad(now, from, message);
+  switch (message.kind) {
+    case SegmentMessageKind::kRefused:
+      this->OnRefused(now, from, std::move(message), out);
+      break;
+    case SegmentMessageKind::kNotHeld:
+      this->OnNotHeld(now, from, std::move(message), out);
+      break;
+    case SegmentMessageKind::kHeld:
+      this->OnHeld(now, from, message, out);
+      break;
+    case SegmentMessageKind::kLoad:
+    case SegmentMessageKind::kOffer:
+    case SegmentMessageKind::kDeliver:
+    case SegmentMessageKind::kSeek:
+      break;
+  }
+}
+
+void SegmentBalancer::LearnLoad(Millis now, const Endpoint& from,
+                                const SegmentMessage& message) {
+  AgentDirectory::Entry* entry = this->agents.Find(from);
+  if (entry == nullptr) return;
+  entry->record.load_milli = message.load_milli;
+  entry->record.open_flows = message.open_flows;
+  entry->record.state = message.state;
+  entry->said_at = now;
+  Standing& standing = this->standings[from];
+  if (standing.unanswered_offers > 0) --standing.unanswered_offers;
+}
+
+void SegmentBalancer::OnRefused(Millis now, const Endpoint& from,
+                                SegmentMessage message, BalancerOutput* out) {
+  ++this->counters.refused;
+  const Result<Segment> read = this->settings.format.read(message.datagram);
+  if (!read.has_value()) return;
+  const SegmentFlow flow{read.value().source, read.value().destination};
+  BalancerEvent event{BalancerEventKind::kOfferRefused, flow, message.refusal,
+                      from, message.tries};
+  out->events.push_back(event);
+  Standing& standing = this->standings[from];
+  switch (message.refusal) {
+    case OfferRefusal::kStale:
+      // The caller's copy of the packet follows in 200 ms.
+      out->listeners_stale = true;
+      this->flows.erase(flow);
+      return;
+    case OfferRefusal::kWrongService:
+      this->agents.Erase(from);
+      break;
+    case OfferRefusal::kNotReady:
+    case OfferRefusal::kUnresponsive:
+      standing.avoid_until = now + kAvoidNotReady;
+      break;
+    case OfferRefusal::kFull:
+      standing.avoid_until = now + kAvoidFull;
+      break;
+    case OfferRefusal::kBusy:
+    case OfferRefusal::kNone:
+      break;
+  }
+  const auto found = this->flows.find(flow);
+  // A later offer of the same flow is under way already.
+  if (found != this->flows.end() && found->second.owner != from) return;
+  this->Place(now, flow, read.value().sequence, std::move(message.datagram),
+              message.tries + 1, from, out);
+}
+
+void SegmentBalancer::OnNotHeld(Millis now, const Endpoint& from,
+                                SegmentMessage message, BalancerOutput* out) {
+  const Result<Segment> read = this->settings.format.read(message.datagram);
+  if (!read.has_value()) return;
+  const SegmentFlow flow{read.value().source, read.value().destination};
+  const auto found = this->flows.find(flow);
+  if (found != this->flows.end()) {
+    if (found->second.owner != from) return;
+    this->flows.erase(found);
+  }
+  out->events.push_back(
+      {BalancerEventKind::kNotHeld, flow, OfferRefusal::kNone, from});
+  this->StartSeek(now, flow, std::move(message.datagram), from, out);
+}
+
+void SegmentBalancer::OnHeld(Millis now, const Endpoint& from,
+                             const SegmentMessage& message,
+                             BalancerOutput* out) {
+  const auto seek = this->seeks.find(message.flow);
+  if (this->flows.contains(message.flow) && seek == this->seeks.end()) return;
+  this->flows[message.flow] = {from, now};
+  if (seek == this->seeks.end()) return;
+  // The first packet has reached the owner with the question.
+  for (size_t i = 1; i < seek->second.held.size(); ++i) {
+    SegmentMessage deliver;
+    deliver.kind = SegmentMessageKind::kDeliver;
+    deliver.datagram = std::move(seek->second.held[i]);
+    out->agents.push_back({from, std::move(deliver)});
+  }
+  this->seeks.erase(seek);
+}
+
+void SegmentBalancer::Tick(Millis now, BalancerOutput* out) {
+  for (auto seek = this->seeks.begin(); seek != this->seeks.end();) {
+    const Millis waited = now - seek->second.started;
+    if (waited > kSeekTimeout) {
+      ++this->counters.seeks_failed;
+      out->events.push_back({BalancerEventKind::kSeekFailed, seek->first});
+      seek = this->seeks.erase(seek);
+      continue;
+    }
+    if (waited > kSeekWiden && !seek->second.widened) {
+      this->SendSeek(seek->first, &seek->second, true, out);
+    }
+    ++seek;
+  }
+  if (now < this->next_sweep) return;
+  this->next_sweep = now + kSweepPeriod;
+  this->agents.Expire(now);
+  std::erase_if(this->standings, [this](const auto& item) {
+    return this->agents.Find(item.first) == nullptr;
+  });
+  std::erase_if(this->flows, [now](const auto& item) {
+    return now - item.second.seen > kFlowIdle;
+  });
+}
+
+}  // namespace cornelhill
