End processes at once after SIGTERM

Cause: a stopped process logged process_stopped and then waited in destructors of ZeroMQ and the logging library until it was killed at the end of its grace time, with its packet socket still bound, so that packets were swallowed. Ruled out: signal handling and the drain period; both show in the log at the expected times.

--- a/include/cornelhill/daemon/runtime.h
+++ b/include/cornelhill/daemon/runtime.h
@@ -53,6 +53,11 @@
   bool draining = false;
 };
 
+// Logs that the process stops and ends it with exit code 0, without running
+// destructors: ZeroMQ and the logging library wait for their own threads there,
+// which took longer than the time that a process has after SIGTERM.
+[[noreturn]] void EndProcess(const std::string& role);
+
 // Counts dropped messages, logs them and records them as events: at most one
 // line and one event a second for each name, with the count. Not thread-safe.
 class DropLog {
--- a/src/daemon/core_role.cc
+++ b/src/daemon/core_role.cc
@@ -65,8 +65,7 @@
         .Add("address", ToString(this->settings.CoreAddress()))
         .Add("joining", this->log == nullptr ? 1 : 0);
     this->runtime.Run();
-    LogLine("process_stopped").Add("role", "core");
-    return boost::outcome_v2::success();
+    EndProcess("core");
   }
 
  private:
--- a/src/daemon/entry_role.cc
+++ b/src/daemon/entry_role.cc
@@ -65,8 +65,7 @@
         .Add("data", ToString(this->settings.DataAddress()));
     this->runtime.Run();
     this->LogCounters();
-    LogLine("process_stopped").Add("role", "entry");
-    return boost::outcome_v2::success();
+    EndProcess("entry");
   }
 
  private:
--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -68,6 +68,11 @@
 
 void Runtime::Run() { this->io.run(); }
 
+void EndProcess(const std::string& role) {
+  LogLine("process_stopped").Add("role", role);
+  std::_Exit(0);
+}
+
 void DropLog::Count(DropReason reason, const std::string& name,
                     const std::string& detail, const FlowKey& flow) {
   ++this->total;
--- a/src/daemon/sidecar_role.cc
+++ b/src/daemon/sidecar_role.cc
@@ -80,8 +80,7 @@
         .Add("upstream", ToString(*this->settings.upstream))
         .Add("data", ToString(this->settings.DataAddress()));
     this->runtime.Run();
-    LogLine("process_stopped").Add("role", "sidecar");
-    return boost::outcome_v2::success();
+    EndProcess("sidecar");
   }
 
  private:
