Compare stale offers by content, elect and reconnect sooner, pause failed seeks

After a loss of power the first hello was dropped while connections were made and the next followed after 1 s, and the first election took 2.7 s. A flow whose upstream was gone was sought among all agents with each retransmission.

Ruled out: full upstreams as the reason of refusals; none was returned.

Offers now carry a hash of the listener's shares.

--- a/include/cornelhill/consensus/replica.h
+++ b/include/cornelhill/consensus/replica.h
@@ -29,6 +29,10 @@
   // default is 5 heartbeats: 5 in a row are lost once in 3 million times at a
   // loss of 5 %.
   Millis election_timeout{1000};
+  // The same until the replica has heard of a leader for the first time: after
+  // a restart of the whole group nobody is disturbed by an early election, and
+  // the others refuse one while their leader is alive. 0: `election_timeout`.
+  Millis startup_timeout{0};
   // With 9 members a leader sends 40 messages of 17 bytes per second, about
   // 3.5 KB with an estimated 70 bytes of headers each; 100 ms would take 7 KB,
   // and a daemon has 5 KB for the control plane.
@@ -311,6 +315,7 @@
   Millis election_deadline;
   // When a message of the current leader last came in.
   Millis leader_heard;
+  bool heard_leader = false;
   std::map<MemberId, bool> votes;
   bool halted = false;
 
--- a/include/cornelhill/daemon/control_log.h
+++ b/include/cornelhill/daemon/control_log.h
@@ -34,9 +34,9 @@
   using Confirmed = std::function<void(std::optional<Millis>)>;
 
   // Opens the data directory. Fails with `kNotFound` where it holds no member.
-  static Result<std::unique_ptr<ControlLog>> Open(const std::string& directory,
-                                                  Millis now, uint64_t seed,
-                                                  Handlers handlers);
+  static Result<std::unique_ptr<ControlLog>> Open(
+      const std::string& directory, Millis now, uint64_t seed,
+      Handlers handlers, ReplicaSettings settings = {});
 
   // Prepares the data directory of the first member of a new group. Fails with
   // `kConflict` where it holds a member's files.
--- a/include/cornelhill/daemon/core_link.h
+++ b/include/cornelhill/daemon/core_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <string>
@@ -44,6 +45,8 @@
   void SetMembers(const std::vector<std::string>& texts);
   bool AsksDirectory(const Endpoint& address, Millis now) const;
   void LogConnection();
+  void SayFirstHello();
+  bool HeardAll() const;
 
   Runtime& runtime;
   const NodeSettings& settings;
@@ -51,6 +54,8 @@
   NodeSocket socket;
   std::map<Endpoint, Member> members;
   bool connected = false;
+  boost::asio::steady_timer first_hello;
+  Millis started;
 };
 
 }  // namespace cornelhill
--- a/include/cornelhill/segment/listener_table.h
+++ b/include/cornelhill/segment/listener_table.h
@@ -38,6 +38,9 @@
   bool operator==(const Listener&) const = default;
 };
 
+// Hash of where a listener's new flows go. Thread-safe.
+uint64_t HashShares(const Listener& listener);
+
 // All listeners of one version.
 struct ListenerSet {
   uint64_t version = 0;
@@ -89,9 +92,6 @@
   // change.
   const Listener* Find(const Endpoint& address) const;
 
-  // Version that last changed the listener; 0 where there is none.
-  uint64_t ChangedAt(const Endpoint& address) const;
-
   // Returns what changed since `from`; the whole table where `from` is 0 or
   // older than what is known of removals.
   ListenerDelta DeltaSince(uint64_t from) const;
--- a/include/cornelhill/segment/segment_agent.h
+++ b/include/cornelhill/segment/segment_agent.h
@@ -177,8 +177,12 @@
   Millis reported_at;
   std::unordered_map<SegmentFlow, Flow> flows;
   std::unordered_map<SegmentFlow, Trial> trials;
-  // Latest version that changed a listener, as offers stated it.
-  std::map<Endpoint, uint64_t> listener_changes;
+  // The latest version of each listener that offers stated.
+  struct SeenListener {
+    uint64_t version = 0;
+    uint64_t shares = 0;
+  };
+  std::map<Endpoint, SeenListener> seen_listeners;
   uint32_t busy = 0;
   uint32_t opening = 0;
   Millis next_sweep;
--- a/include/cornelhill/segment/segment_balancer.h
+++ b/include/cornelhill/segment/segment_balancer.h
@@ -97,7 +97,7 @@
   // `Seeking`, otherwise at least once a second.
   void Tick(Millis now, BalancerOutput* out);
 
-  bool Seeking() const { return !this->seeks.empty(); }
+  bool Seeking() const { return this->seeking > 0; }
 
   // Whether a new flow could be served.
   bool CanServe() const;
@@ -112,7 +112,6 @@
     Endpoint owner;
     Millis seen;
     uint32_t first_sequence = 0;
-    uint64_t listener_change = 0;
     uint32_t tries = 0;
   };
 
@@ -120,6 +119,8 @@
     std::vector<std::string> held;
     Millis started;
     bool widened = false;  // Every agent was asked.
+    bool failed = false;   // Nobody answered; kept so that it is not repeated.
+    Millis pause;          // Until the next seek after a failed one.
     std::optional<Endpoint> except;
   };
 
@@ -143,6 +144,8 @@
              std::string datagram, BalancerOutput* out);
   void StartSeek(Millis now, const SegmentFlow& flow, std::string datagram,
                  std::optional<Endpoint> except, BalancerOutput* out);
+  void RunSeek(Millis now, const SegmentFlow& flow, std::string datagram,
+               std::optional<Endpoint> except, BalancerOutput* out);
   void SendSeek(const SegmentFlow& flow, Seek* seek, bool wide,
                 BalancerOutput* out);
   void Reset(const SegmentFlow& flow, BalancerEvent event, BalancerOutput* out);
@@ -161,6 +164,7 @@
   std::map<Endpoint, Standing> standings;
   std::unordered_map<SegmentFlow, Flow> flows;
   std::unordered_map<SegmentFlow, Seek> seeks;
+  size_t seeking = 0;  // Seeks that have not failed.
   Millis next_sweep;
   BalancerCounters counters;
 };
--- a/include/cornelhill/segment/segment_messages.h
+++ b/include/cornelhill/segment/segment_messages.h
@@ -60,9 +60,10 @@
 struct SegmentMessage {
   SegmentMessageKind kind = SegmentMessageKind::kDeliver;
   std::string datagram;
-  ServiceKey service;            // Offer: for which service.
-  uint64_t listener_change = 0;  // Offer: version that changed the listener.
-  uint32_t tries = 0;            // Offer and refusal: offers made before.
+  ServiceKey service;             // Offer: for which service.
+  uint64_t listener_version = 0;  // Offer: of the sender's listeners.
+  uint64_t listener_shares = 0;   // Offer: hash of the listener's shares.
+  uint32_t tries = 0;             // Offer and refusal: offers made before.
   OfferRefusal refusal = OfferRefusal::kNone;
   SegmentFlow flow;         // Held and load.
   uint32_t load_milli = 0;  // From an agent: busy flows per slot times 1000.
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -117,7 +117,11 @@
 // Roles.
 
 void Replica::ResetElectionTimer(Millis now) {
-  const int64_t timeout = this->settings.election_timeout.Count();
+  const bool starting =
+      !this->heard_leader && this->settings.startup_timeout > Millis(0);
+  const int64_t timeout = (starting ? this->settings.startup_timeout
+                                    : this->settings.election_timeout)
+                              .Count();
   this->election_deadline =
       now + Millis(timeout + static_cast<int64_t>(this->random.Below(
                                  static_cast<uint64_t>(timeout))));
@@ -203,6 +207,7 @@
 void Replica::BecomeLeader(Millis now) {
   this->role = ReplicaRole::kLeader;
   this->leader = this->self;
+  this->heard_leader = true;
   this->votes.clear();
   this->progress.clear();
   this->round = 0;
@@ -539,6 +544,7 @@
     this->BecomeFollower(now, this->hard_state.term, from);
   }
   this->leader_heard = now;
+  this->heard_leader = true;
   this->ResetElectionTimer(now);
 }
 
--- a/src/daemon/control_log.cc
+++ b/src/daemon/control_log.cc
@@ -25,8 +25,8 @@
 }
 
 Result<std::unique_ptr<ControlLog>> ControlLog::Open(
-    const std::string& directory, Millis now, uint64_t seed,
-    Handlers handlers) {
+    const std::string& directory, Millis now, uint64_t seed, Handlers handlers,
+    ReplicaSettings settings) {
   BOOST_OUTCOME_TRY(
       store, LogStore::Open(LogStoreSettings{}, &PosixFileSystem(), directory,
                             std::nullopt));
@@ -42,8 +42,8 @@
     BOOST_OUTCOME_TRY(restored, ControlState::Restore(snapshot->data));
     state = std::move(restored);
   }
-  BOOST_OUTCOME_TRY(replica, Replica::Start(ReplicaSettings{},
-                                            store->TakeState(), seed, now));
+  BOOST_OUTCOME_TRY(replica,
+                    Replica::Start(settings, store->TakeState(), seed, now));
   return std::unique_ptr<ControlLog>(
       new ControlLog(std::move(store), std::move(replica), std::move(state),
                      std::move(handlers)));
--- a/src/daemon/core_link.cc
+++ b/src/daemon/core_link.cc
@@ -1,6 +1,7 @@
 #include "cornelhill/daemon/core_link.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "cornelhill/base/log.h"
@@ -12,6 +13,10 @@
 namespace {
 
 constexpr Millis kHelloPeriod{1000};
+// Until the first answer: messages are dropped while connections are made.
+constexpr Millis kFirstHelloPeriod{100};
+// Members that stay silent for longer are down or replaced.
+constexpr Millis kFirstHelloTime{5000};
 // Two periods and a round trip.
 constexpr Millis kMemberSilence{2500};
 
@@ -26,16 +31,36 @@
              settings.instance + "/" + std::to_string(RandomSeed()),
              [this](const NodeSocket::Peer& peer, const std::string& bytes) {
                this->OnMessage(peer, bytes);
-             }) {
+             }),
+      first_hello(runtime.Io()) {
   this->SetMembers({});
 }
 
 void CoreLink::Start() {
-  this->SayHello();
+  this->started = MonotonicNow();
   this->runtime.Every(kHelloPeriod, [this] {
     this->SayHello();
     this->LogConnection();
   });
+  this->SayFirstHello();
+}
+
+void CoreLink::SayFirstHello() {
+  this->SayHello();
+  this->first_hello.expires_after(
+      std::chrono::milliseconds(kFirstHelloPeriod.Count()));
+  this->first_hello.async_wait([this](const boost::system::error_code& error) {
+    if (!error && !this->HeardAll()) this->SayFirstHello();
+  });
+}
+
+bool CoreLink::HeardAll() const {
+  const Millis now = MonotonicNow();
+  return now - this->started > kFirstHelloTime ||
+         std::all_of(this->members.begin(), this->members.end(),
+                     [now](const auto& item) {
+                       return now - item.second.heard < kMemberSilence;
+                     });
 }
 
 void CoreLink::SayHello() {
--- a/src/daemon/core_role.cc
+++ b/src/daemon/core_role.cc
@@ -28,6 +28,13 @@
 constexpr Millis kTickPeriod{50};
 constexpr Millis kMembershipPeriod{500};
 constexpr Millis kJoinPeriod{500};
+// Links between failure domains take 3 to 6 ms and lose single packets. An
+// order waits for a second at most where its sender asks another instance.
+constexpr Millis kElectionTimeout{500};
+constexpr Millis kStartupElectionTimeout{150};
+constexpr Millis kHeartbeat{100};
+// Requests that are being answered end in this time.
+constexpr Millis kDrainPeriod{300};
 // How long a member waits for a leader before it asks whether it was removed.
 constexpr Millis kLeaderless{4000};
 // A log whose disk failed is opened again after this time.
@@ -60,6 +67,10 @@
     this->runtime.Every(kMembershipPeriod, [this] { this->TendMembership(); });
     this->runtime.Every(kJoinPeriod, [this] { this->AskToJoin(); });
     this->runtime.Every(kReopenPeriod, [this] { this->Reopen(); });
+    this->runtime.OnDrain([this] {
+      this->draining = true;
+      this->runtime.Every(kDrainPeriod, [this] { this->runtime.Stop(); });
+    });
     LogLine("process_started")
         .Add("role", "core")
         .Add("address", ToString(this->settings.CoreAddress()))
@@ -113,8 +124,13 @@
       return;
     }
     const Millis now = MonotonicNow();
-    Result<std::unique_ptr<ControlLog>> opened = ControlLog::Open(
-        this->Directory(), now, this->seed, this->LogHandlers());
+    ReplicaSettings settings_of_log;
+    settings_of_log.election_timeout = kElectionTimeout;
+    settings_of_log.startup_timeout = kStartupElectionTimeout;
+    settings_of_log.heartbeat = kHeartbeat;
+    Result<std::unique_ptr<ControlLog>> opened =
+        ControlLog::Open(this->Directory(), now, this->seed,
+                         this->LogHandlers(), settings_of_log);
     this->empty_disk =
         !opened.has_value() && opened.error().code == ErrorCode::kNotFound;
     this->reopen = !opened.has_value() && !this->empty_disk;
@@ -454,7 +470,9 @@
       this->Refuse(respond, 404, "not served here");
       return;
     }
-    if (!this->Leads()) {
+    if (this->draining) {
+      this->Refuse(respond, 503, "this instance stops");
+    } else if (!this->Leads()) {
       this->Redirect(request, respond);
     } else if (put != nullptr) {
       this->OnPut(*put, respond);
@@ -550,6 +568,7 @@
   std::unique_ptr<ControlLog> log;  // Null while joining or without a disk.
   bool empty_disk = false;
   bool reopen = false;
+  bool draining = false;
   std::string halt_reason;
   Millis leader_heard;
   CoreMembership membership;
--- a/src/segment/listener_table.cc
+++ b/src/segment/listener_table.cc
@@ -3,8 +3,19 @@
 #include <functional>
 #include <set>
 
+#include "cornelhill/base/hash.h"
+
 namespace cornelhill {
 
+uint64_t HashShares(const Listener& listener) {
+  uint64_t hash = 0;
+  for (const ListenerShare& share : listener.shares) {
+    hash = HashCombine(hash, share.service.Value());
+    hash = HashCombine(hash, share.weight);
+  }
+  return hash;
+}
+
 bool ListenerTable::Apply(const ListenerSet& set) {
   if (set.version <= this->version) return false;
   std::set<Endpoint> present;
@@ -60,13 +71,6 @@
   return found == this->entries.end() ? nullptr : &found->second.listener;
 }
 
-uint64_t ListenerTable::ChangedAt(const Endpoint& address) const {
-  const auto found = this->entries.find(address);
-  if (found != this->entries.end()) return found->second.changed;
-  const auto gone = this->removed.find(address);
-  return gone == this->removed.end() ? 0 : gone->second;
-}
-
 ListenerDelta ListenerTable::DeltaSince(uint64_t from) const {
   const bool whole = from == 0 || from < this->floor;
   ListenerDelta delta{whole ? 0 : from, this->version, {}};
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -162,8 +162,10 @@
     this->Reply(now, from, std::move(message), out);
     return;
   }
-  uint64_t& change = this->listener_changes[flow.listener];
-  change = std::max(change, message.listener_change);
+  SeenListener& seen = this->seen_listeners[flow.listener];
+  if (message.listener_version >= seen.version) {
+    seen = {message.listener_version, message.listener_shares};
+  }
   const auto found = this->flows.find(flow);
   const bool copy = found != this->flows.end() &&
                     found->second.first_sequence == segment.sequence &&
@@ -204,9 +206,10 @@
     return OfferRefusal::kNone;
   }
   if (message.service != this->service) return OfferRefusal::kWrongService;
-  const auto change = this->listener_changes.find(flow.listener);
-  if (change != this->listener_changes.end() &&
-      message.listener_change < change->second) {
+  const auto seen = this->seen_listeners.find(flow.listener);
+  if (seen != this->seen_listeners.end() &&
+      message.listener_version < seen->second.version &&
+      message.listener_shares != seen->second.shares) {
     return OfferRefusal::kStale;
   }
   if (this->State(now) != UpstreamState::kReady) return OfferRefusal::kNotReady;
--- a/src/segment/segment_balancer.cc
+++ b/src/segment/segment_balancer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -18,6 +19,11 @@
 constexpr Millis kSeekWiden{25};
 // A recovering agent answers 25 ms after the packet reached its upstream.
 constexpr Millis kSeekTimeout{120};
+// A flow whose upstream is gone is retransmitted up to eight times; each seek
+// asks every agent.
+constexpr Millis kSeekPause{150};
+constexpr Millis kSeekPauseMax{2400};
+constexpr Millis kSeekMemory{5000};
 // A flow that was idle for longer than this is sought again when it goes on;
 // listeners close flows that idle for 15 s.
 constexpr Millis kFlowIdle{20000};
@@ -132,8 +138,7 @@
     this->flows.erase(this->flows.begin());
   }
   Flow& state = this->flows[flow];
-  state = {*agent, now, first_sequence,
-           this->listeners.ChangedAt(flow.listener), tries};
+  state = {*agent, now, first_sequence, tries};
   this->Offer(now, flow, state, std::move(datagram), out);
 }
 
@@ -174,10 +179,11 @@
   SegmentMessage message;
   message.kind = SegmentMessageKind::kOffer;
   message.datagram = std::move(datagram);
-  message.service = listener == nullptr
-                        ? ServiceKey()
-                        : ListenerTable::PickService(*listener, flow);
-  message.listener_change = state.listener_change;
+  message.listener_version = this->listeners.Version();
+  if (listener != nullptr) {
+    message.service = ListenerTable::PickService(*listener, flow);
+    message.listener_shares = HashShares(*listener);
+  }
   message.tries = state.tries;
   Standing& standing = this->standings[state.owner];
   ++standing.unanswered_offers;
@@ -202,12 +208,33 @@
                                 BalancerOutput* out) {
   const auto [found, added] = this->seeks.try_emplace(flow);
   Seek& seek = found->second;
-  if (seek.held.size() < kMaxHeldPackets) {
-    seek.held.push_back(std::move(datagram));
+  if (seek.failed) {
+    if (now - seek.started < seek.pause) return;
+    seek.failed = false;
+    seek.widened = false;
+    seek.pause = std::min(seek.pause * 2, kSeekPauseMax);
+    this->RunSeek(now, flow, std::move(datagram), except, out);
+    return;
+  }
+  if (!added) {
+    if (seek.held.size() < kMaxHeldPackets) {
+      seek.held.push_back(std::move(datagram));
+    }
+    return;
   }
-  if (!added) return;
+  seek.pause = kSeekPause;
+  this->RunSeek(now, flow, std::move(datagram), except, out);
+}
+
+void SegmentBalancer::RunSeek(Millis now, const SegmentFlow& flow,
+                              std::string datagram,
+                              std::optional<Endpoint> except,
+                              BalancerOutput* out) {
+  Seek& seek = this->seeks.at(flow);
+  seek.held.push_back(std::move(datagram));
   seek.started = now;
   seek.except = except;
+  ++this->seeking;
   ++this->counters.seeks;
   out->events.push_back({BalancerEventKind::kSeekStarted, flow});
   this->SendSeek(flow, &seek, false, out);
@@ -326,6 +353,7 @@
   if (this->flows.contains(message.flow) && seek == this->seeks.end()) return;
   this->flows[message.flow] = {from, now};
   if (seek == this->seeks.end()) return;
+  if (!seek->second.failed) --this->seeking;
   // The first packet has reached the owner with the question.
   for (size_t i = 1; i < seek->second.held.size(); ++i) {
     SegmentMessage deliver;
@@ -339,13 +367,18 @@
 void SegmentBalancer::Tick(Millis now, BalancerOutput* out) {
   for (auto seek = this->seeks.begin(); seek != this->seeks.end();) {
     const Millis waited = now - seek->second.started;
+    if (seek->second.failed) {
+      seek = waited > kSeekMemory ? this->seeks.erase(seek) : std::next(seek);
+      continue;
+    }
     if (waited > kSeekTimeout) {
+      --this->seeking;
       ++this->counters.seeks_failed;
       out->events.push_back({BalancerEventKind::kSeekFailed, seek->first});
-      seek = this->seeks.erase(seek);
-      continue;
+      seek->second.failed = true;
+      seek->second.held.clear();
     }
-    if (waited > kSeekWiden && !seek->second.widened) {
+    if (waited > kSeekWiden && !seek->second.widened && !seek->second.failed) {
       this->SendSeek(seek->first, &seek->second, true, out);
     }
     ++seek;
--- a/src/segment/segment_messages.cc
+++ b/src/segment/segment_messages.cc
@@ -214,7 +214,8 @@
   out.set_kind(static_cast<uint32_t>(message.kind));
   out.set_datagram(message.datagram);
   out.set_service(message.service.Value());
-  out.set_listener_change(message.listener_change);
+  out.set_listener_version(message.listener_version);
+  out.set_listener_shares(message.listener_shares);
   out.set_tries(message.tries);
   out.set_reason(static_cast<uint32_t>(message.refusal));
   out.set_caller_address(message.flow.caller.address);
@@ -242,7 +243,8 @@
   out.kind = static_cast<SegmentMessageKind>(in.kind());
   out.datagram = std::move(*in.mutable_datagram());
   out.service = ServiceKey(in.service());
-  out.listener_change = in.listener_change();
+  out.listener_version = in.listener_version();
+  out.listener_shares = in.listener_shares();
   out.tries = in.tries();
   out.refusal = static_cast<OfferRefusal>(in.reason());
   out.flow = {caller, listener};
