--- a/include/cornelhill/segment/segment_balancer.h
+++ b/include/cornelhill/segment/segment_balancer.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cornelhill/base/millis.h"
+#include "cornelhill/base/random.h"
 #include "cornelhill/segment/agent_directory.h"
 #include "cornelhill/segment/listener_table.h"
 #include "cornelhill/segment/segment.h"
@@ -20,6 +21,8 @@
   SegmentFormat format;
   // An entry takes about 120 bytes; 60,000 stay below 8 MB.
   size_t max_flows = 60000;
+  // Differs between balancers, so that they do not choose the same agent.
+  uint64_t seed = 1;
 };
 
 // Why a caller was refused, or a packet dropped, for logs and counters.
@@ -137,11 +140,21 @@
   void Place(Millis now, const SegmentFlow& flow, uint32_t first_sequence,
              std::string datagram, uint32_t tries,
              std::optional<Endpoint> except, BalancerOutput* out);
-  std::optional<Endpoint> ChooseAgent(Millis now, ServiceKey service,
-                                      std::optional<Endpoint> except);
-  double Score(Millis now, const AgentDirectory::Entry& entry);
+  // An agent to offer a flow to, and the load above which the next best one
+  // would have been better.
+  struct Choice {
+    Endpoint agent;
+    uint32_t load_limit_milli = 0;
+  };
+  std::optional<Choice> ChooseAgent(Millis now, const Listener& listener,
+                                    ServiceKey service,
+                                    std::optional<Endpoint> except);
+  // Expected busy requests per slot beside those that the agent states.
+  double Surcharge(Millis now, const Listener& listener,
+                   const AgentDirectory::Entry& entry);
   void Offer(Millis now, const SegmentFlow& flow, const Flow& state,
-             std::string datagram, BalancerOutput* out);
+             uint32_t load_limit_milli, std::string datagram,
+             BalancerOutput* out);
   void StartSeek(Millis now, const SegmentFlow& flow, std::string datagram,
                  std::optional<Endpoint> except, BalancerOutput* out);
   void RunSeek(Millis now, const SegmentFlow& flow, std::string datagram,
@@ -165,6 +178,7 @@
   std::unordered_map<SegmentFlow, Flow> flows;
   std::unordered_map<SegmentFlow, Seek> seeks;
   size_t seeking = 0;  // Seeks that have not failed.
+  Random random;
   Millis next_sweep;
   BalancerCounters counters;
 };
--- a/include/cornelhill/segment/segment_messages.h
+++ b/include/cornelhill/segment/segment_messages.h
@@ -34,7 +34,7 @@
   kFull = 3,          // The upstream returned the packet.
   kStale = 4,         // The listener has changed since the balancer's version.
   kUnresponsive = 5,  // The upstream has not replied to the first packet.
-  kBusy = 6,          // No free slot, and no other agent was asked yet.
+  kBusy = 6,          // No free slot, and another agent has less load.
 };
 
 // Number of `OfferRefusal` values.
@@ -65,9 +65,11 @@
   uint64_t listener_shares = 0;   // Offer: hash of the listener's shares.
   uint32_t tries = 0;             // Offer and refusal: offers made before.
   OfferRefusal refusal = OfferRefusal::kNone;
-  SegmentFlow flow;         // Held and load.
-  uint32_t load_milli = 0;  // From an agent: busy flows per slot times 1000.
-  uint32_t open_flows = 0;  // From an agent.
+  SegmentFlow flow;  // Held and load.
+  // From an agent: busy flows per slot times 1000. Offer: an agent with more is
+  // a worse choice than the balancer's next one.
+  uint32_t load_milli = 0;
+  uint32_t open_flows = 0;                        // From an agent.
   UpstreamState state = UpstreamState::kUnknown;  // From an agent.
 
   bool operator==(const SegmentMessage&) const = default;
--- a/src/daemon/entry_role.cc
+++ b/src/daemon/entry_role.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cornelhill/base/log.h"
+#include "cornelhill/base/random.h"
 #include "cornelhill/daemon/core_link.h"
 #include "cornelhill/daemon/datagram_socket.h"
 #include "cornelhill/daemon/http_server.h"
@@ -22,12 +23,21 @@
 constexpr Millis kLeaveRotation{1500};
 constexpr Millis kCountersPeriod{10000};
 
+SegmentBalancerSettings BalancerSettings(const NodeSettings& settings,
+                                         const PlatformFormats& formats) {
+  SegmentBalancerSettings out;
+  out.failure_domain = settings.failure_domain;
+  out.format = formats.segment;
+  out.seed = RandomSeed();
+  return out;
+}
+
 class EntryRole {
  public:
   EntryRole(const NodeSettings& settings, const PlatformFormats& formats)
       : settings(settings),
         formats(formats),
-        balancer({settings.failure_domain, formats.segment}),
+        balancer(BalancerSettings(settings, formats)),
         packets(runtime.Io()),
         data(runtime.Io()),
         ready(runtime.Io(),
--- a/src/daemon/node_socket.cc
+++ b/src/daemon/node_socket.cc
@@ -20,7 +20,8 @@
 constexpr int kHeartbeatTimeoutMs = 2500;
 constexpr int kConnectTimeoutMs = 1000;
 constexpr int kReconnectMs = 100;
-constexpr int kReconnectMaxMs = 800;
+// After a loss of power the others listen within half a second of each other.
+constexpr int kReconnectMaxMs = 200;
 
 std::string TcpAddress(const Endpoint& address) {
   return "tcp://" + ToString(address);
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -14,6 +14,9 @@
 // A caller copies its first packet after 200 ms. An upstream that has not
 // replied by then is taken to be down.
 constexpr Millis kFirstReplyTimeout{150};
+// An offer that was refused twice is taken: the caller waits for its answer.
+constexpr uint32_t kMaxBusyRefusals = 2;
+constexpr uint32_t kAllSlotsBusy = 1000;
 // A caller gives up opening a flow after 1.4 s.
 constexpr Millis kOpeningLifetime{1500};
 // Listeners close flows that idle for 15 s.
@@ -213,8 +216,9 @@
     return OfferRefusal::kStale;
   }
   if (this->State(now) != UpstreamState::kReady) return OfferRefusal::kNotReady;
-  const uint32_t slots = std::max(this->report->slots, 1U);
-  if (message.tries == 0 && this->busy + this->opening > slots) {
+  const uint32_t load = this->LoadMilli();
+  if (message.tries < kMaxBusyRefusals && load >= kAllSlotsBusy &&
+      load > message.load_milli) {
     return OfferRefusal::kBusy;
   }
   return OfferRefusal::kNone;
--- a/src/segment/segment_balancer.cc
+++ b/src/segment/segment_balancer.cc
@@ -35,11 +35,19 @@
 constexpr Millis kAvoidNotReady{1500};
 constexpr Millis kAvoidFull{100};
 // Weight of another failure domain, in busy requests per slot: its link adds
-// two to six milliseconds to each round trip and its bytes are paid for.
-constexpr double kRemoteDomain = 0.6;
+// two to six milliseconds to each round trip, and its bytes are paid for, of
+// which an upload has a hundred times as many.
+constexpr double kRemoteDomain = 0.15;
+constexpr double kRemoteUpload = 0.6;
 // Expected busy requests of one open flow: a caller asks about once a second
-// for work of 13 to 26 ms.
-constexpr double kOpenFlowLoad = 0.02;
+// for work of 13 to 26 ms, a few percent of which take seven times as long.
+constexpr double kOpenFlowLoad = 0.03;
+// Agents whose load is as good as equal are chosen by lot.
+constexpr double kNoise = 0.05;
+constexpr double kAvoided = 1000;
+// A refused offer costs a round trip, so small differences are accepted.
+constexpr double kLoadMargin = 0.25;
+constexpr double kMaxLoadMilli = 1e9;
 
 }  // namespace
 
@@ -51,7 +59,7 @@
 }
 
 SegmentBalancer::SegmentBalancer(SegmentBalancerSettings settings)
-    : settings(std::move(settings)) {}
+    : settings(std::move(settings)), random(this->settings.seed) {}
 
 bool SegmentBalancer::OnUpdate(Millis now, const Update& update) {
   for (const AgentRecord& record : update.agents) {
@@ -106,7 +114,7 @@
       found->second.first_sequence == segment.sequence &&
       this->agents.Find(found->second.owner) != nullptr) {
     found->second.seen = now;
-    this->Offer(now, flow, found->second, std::string(datagram), out);
+    this->Offer(now, flow, found->second, 0, std::string(datagram), out);
     return;
   }
   this->Place(now, flow, segment.sequence, std::string(datagram), 0,
@@ -124,10 +132,10 @@
     return;
   }
   const ServiceKey service = ListenerTable::PickService(*listener, flow);
-  const std::optional<Endpoint> agent =
-      tries < kMaxOffers ? this->ChooseAgent(now, service, except)
+  const std::optional<Choice> choice =
+      tries < kMaxOffers ? this->ChooseAgent(now, *listener, service, except)
                          : std::nullopt;
-  if (!agent.has_value()) {
+  if (!choice.has_value()) {
     BalancerEvent event{BalancerEventKind::kNoAgent, flow};
     event.tries = tries;
     this->Reset(flow, event, out);
@@ -138,43 +146,60 @@
     this->flows.erase(this->flows.begin());
   }
   Flow& state = this->flows[flow];
-  state = {*agent, now, first_sequence, tries};
-  this->Offer(now, flow, state, std::move(datagram), out);
+  state = {choice->agent, now, first_sequence, tries};
+  this->Offer(now, flow, state, choice->load_limit_milli, std::move(datagram),
+              out);
 }
 
-std::optional<Endpoint> SegmentBalancer::ChooseAgent(
-    Millis now, ServiceKey service, std::optional<Endpoint> except) {
-  std::optional<Endpoint> best;
-  double best_score = std::numeric_limits<double>::max();
+std::optional<SegmentBalancer::Choice> SegmentBalancer::ChooseAgent(
+    Millis now, const Listener& listener, ServiceKey service,
+    std::optional<Endpoint> except) {
+  constexpr double kNone = std::numeric_limits<double>::max();
+  std::optional<Choice> choice;
+  double best = kNone;
+  double best_surcharge = 0;
+  double second = kNone;
   for (const auto& [address, entry] : this->agents.Entries()) {
     if (entry.record.service != service || address == except) continue;
     if (entry.record.state != UpstreamState::kReady) continue;
-    const double score = this->Score(now, entry);
-    if (score >= best_score) continue;
-    best = address;
-    best_score = score;
+    const double surcharge = this->Surcharge(now, listener, entry);
+    const double score = entry.record.load_milli / 1000.0 + surcharge;
+    if (score < best) {
+      second = best;
+      best = score;
+      best_surcharge = surcharge;
+      choice = Choice{address};
+    } else if (score < second) {
+      second = score;
+    }
   }
-  return best;
+  if (!choice.has_value()) return choice;
+  const double limit = std::max(second - best_surcharge, 0.0) + kLoadMargin;
+  choice->load_limit_milli =
+      static_cast<uint32_t>(std::min(limit * 1000, kMaxLoadMilli));
+  return choice;
 }
 
-double SegmentBalancer::Score(Millis now, const AgentDirectory::Entry& entry) {
+double SegmentBalancer::Surcharge(Millis now, const Listener& listener,
+                                  const AgentDirectory::Entry& entry) {
   Standing& standing = this->standings[entry.record.address];
   if (now - standing.last_offer > kOfferMemory) standing.unanswered_offers = 0;
   const double slots = entry.record.slots;
-  double score = entry.record.load_milli / 1000.0;
-  score += standing.unanswered_offers / slots;
-  score += kOpenFlowLoad * entry.record.open_flows / slots;
+  double surcharge = standing.unanswered_offers / slots;
+  surcharge += kOpenFlowLoad * entry.record.open_flows / slots;
+  surcharge += kNoise * this->random.Unit();
   if (entry.record.failure_domain != this->settings.failure_domain) {
-    score += kRemoteDomain;
+    surcharge +=
+        listener.work == WorkKind::kUpload ? kRemoteUpload : kRemoteDomain;
   }
   // Still better than no agent at all.
-  if (now < standing.avoid_until) score += 1000;
-  return score;
+  if (now < standing.avoid_until) surcharge += kAvoided;
+  return surcharge;
 }
 
 void SegmentBalancer::Offer(Millis now, const SegmentFlow& flow,
-                            const Flow& state, std::string datagram,
-                            BalancerOutput* out) {
+                            const Flow& state, uint32_t load_limit_milli,
+                            std::string datagram, BalancerOutput* out) {
   const Listener* listener = this->listeners.Find(flow.listener);
   SegmentMessage message;
   message.kind = SegmentMessageKind::kOffer;
@@ -185,6 +210,7 @@
     message.listener_shares = HashShares(*listener);
   }
   message.tries = state.tries;
+  message.load_milli = load_limit_milli;
   Standing& standing = this->standings[state.owner];
   ++standing.unanswered_offers;
   standing.last_offer = now;
@@ -327,8 +353,11 @@
   const auto found = this->flows.find(flow);
   // A later offer of the same flow is under way already.
   if (found != this->flows.end() && found->second.owner != from) return;
+  // An agent without a free slot may still be the best choice.
+  const bool exclude = message.refusal != OfferRefusal::kBusy;
   this->Place(now, flow, read.value().sequence, std::move(message.datagram),
-              message.tries + 1, from, out);
+              message.tries + 1, exclude ? std::optional(from) : std::nullopt,
+              out);
 }
 
 void SegmentBalancer::OnNotHeld(Millis now, const Endpoint& from,
--- /dev/null
+++ b/tests/control/core_membership_test.cc
@@ -0,0 +1,78 @@
+#include "cornelhill/control/core_membership.h"
+
+#include <criterion/criterion.h>
+
+namespace cornelhill {
+namespace {
+
+std::string Address(uint32_t host, uint64_t token) {
+  return ToString(CoreAddress{{host, 7720}, "a", token});
+}
+
+ReplicaStatus Leading(std::vector<Member> members) {
+  ReplicaStatus status;
+  status.self = MemberId(1);
+  status.role = ReplicaRole::kLeader;
+  for (const Member& member : members) {
+    status.members.push_back({member, 0, true, true});
+    status.membership.members.push_back(member);
+  }
+  return status;
+}
+
+Test(core_membership, addresses_read_back) {
+  const CoreAddress address{{0x0a01000a, 7720}, "norte-a", 12345};
+  cr_assert(ParseCoreAddress(ToString(address)).value() == address);
+  cr_assert_not(ParseCoreAddress("10.1.0.10:7720").has_value());
+  cr_assert_not(ParseCoreAddress("10.1.0.10:7720#a#x").has_value());
+  cr_assert_not(ParseCoreAddress("#a#1").has_value());
+}
+
+// Fails where a member whose disk was lost keeps its old vote beside the new
+// one.
+Test(core_membership, a_member_that_lost_its_disk_is_replaced) {
+  CoreMembership membership;
+  ReplicaStatus status = Leading({{MemberId(1), true, 0, Address(1, 1)},
+                                  {MemberId(2), true, 0, Address(2, 2)},
+                                  {MemberId(3), true, 0, Address(3, 3)},
+                                  {MemberId(4), false, 0, Address(3, 9)}});
+  status.members[2].active = false;
+  auto change = membership.Next(Millis(0), status);
+  cr_assert_eq(std::get<PromoteLearner>(*change).id.Value(), 4U);
+  status.members[3].member.voter = true;
+  status.membership.members[3].voter = true;
+  change = membership.Next(Millis(10), status);
+  cr_assert_eq(std::get<RemoveMember>(*change).id.Value(), 3U);
+}
+
+// Fails where a cut makes the group shrink although nobody took the place of
+// the silent member.
+Test(core_membership, a_silent_member_stays_until_another_has_its_place) {
+  CoreMembership membership;
+  ReplicaStatus status = Leading({{MemberId(1), true, 0, Address(1, 1)},
+                                  {MemberId(2), true, 0, Address(2, 2)},
+                                  {MemberId(3), true, 0, Address(3, 3)}});
+  status.members[2].active = false;
+  for (int64_t t = 0; t < 60000; t += 500) {
+    cr_assert_not(membership.Next(Millis(t), status).has_value());
+  }
+  const Member added{MemberId(4), true, 0, Address(4, 4)};
+  status.members.push_back({added, 0, true, true});
+  status.membership.members.push_back(added);
+  const auto change = membership.Next(Millis(60000), status);
+  cr_assert_eq(std::get<RemoveMember>(*change).id.Value(), 3U);
+}
+
+Test(core_membership, one_change_at_a_time_and_by_the_leader_only) {
+  CoreMembership membership;
+  ReplicaStatus status = Leading({{MemberId(1), true, 0, Address(1, 1)},
+                                  {MemberId(2), false, 0, Address(2, 2)}});
+  status.change_in_flight = true;
+  cr_assert_not(membership.Next(Millis(0), status).has_value());
+  status.change_in_flight = false;
+  status.role = ReplicaRole::kFollower;
+  cr_assert_not(membership.Next(Millis(0), status).has_value());
+}
+
+}  // namespace
+}  // namespace cornelhill
--- /dev/null
+++ b/tests/platform/api_format_test.cc
@@ -0,0 +1,71 @@
+#include <criterion/criterion.h>
+
+#include <vector>
+
+#include "cornelhill/base/random.h"
+#include "cornelhill/daemon/api.h"
+
+namespace cornelhill {
+namespace {
+
+ApiRequest Read(const std::string& method, const std::string& target,
+                const std::string& body = "") {
+  return ApiFormatRegistry::Global()
+      .Find("platform")
+      ->read({method, target, body});
+}
+
+const std::string kReport =
+    R"({"service":"s","address":"10.128.0.9:8080","zone":"a","version":"v1",)"
+    R"("slots":4,"state":"ready","cold_remaining_ms":0,"seq":4,"born":99})";
+
+Test(api_format, reads_calls) {
+  cr_assert(std::holds_alternative<ReadyQuery>(Read("GET", "/-/ready")));
+  cr_assert(std::holds_alternative<ListenerGet>(Read("GET", "/-/config")));
+  const auto report =
+      std::get<UpstreamReport>(Read("PUT", "/-/instances/i-7", kReport));
+  cr_assert_eq(report.id, "i-7");
+  cr_assert_eq(report.service, "s");
+  cr_assert_eq(report.incarnation.Value(), 99U);
+  cr_assert_eq(report.sequence, 4U);
+  cr_assert_eq(report.slots, 4U);
+  cr_assert(report.state == UpstreamState::kReady);
+  const auto left = std::get<UpstreamLeft>(Read("DELETE", "/-/instances/i-7"));
+  cr_assert_eq(left.id, "i-7");
+}
+
+// A heartbeat of another writer names no upstream.
+Test(api_format, refuses_reports_that_it_cannot_trust) {
+  const std::vector<std::string> bodies = {
+      "",
+      "[]",
+      "{",
+      R"({"service":"s","slots":4,"state":"ready"})",
+      R"({"service":5,"slots":4,"state":"ready","seq":4})",
+      R"({"service":"s","slots":0,"state":"ready","seq":4})",
+      R"({"service":"s","slots":4,"state":"gone","seq":4})",
+      R"({"service":"s","slots":4,"state":"ready","seq":-1})",
+      R"({"service":"s","slots":4,"state":"ready","seq":1,"born":1.5})"};
+  for (const std::string& body : bodies) {
+    const ApiRequest read = Read("PUT", "/-/instances/i-7", body);
+    cr_assert(std::holds_alternative<ApiRefusal>(read), "%s", body.c_str());
+    cr_assert_eq(std::get<ApiRefusal>(read).status, 400U);
+  }
+  Random random(20261204);
+  for (int i = 0; i < 5000; ++i) {
+    std::string bytes = kReport;
+    bytes[random.Below(bytes.size())] = static_cast<char>(random.Below(256));
+    (void)Read("PUT", "/-/instances/i-7", bytes);
+  }
+}
+
+Test(api_format, refuses_other_calls) {
+  cr_assert_eq(std::get<ApiRefusal>(Read("GET", "/x")).status, 404U);
+  cr_assert_eq(std::get<ApiRefusal>(Read("POST", "/-/config")).status, 405U);
+  cr_assert_eq(std::get<ApiRefusal>(Read("PUT", "/-/config", "{")).status,
+               400U);
+  cr_assert_eq(std::get<ApiRefusal>(Read("GET", "/-/instances/")).status, 404U);
+}
+
+}  // namespace
+}  // namespace cornelhill
--- /dev/null
+++ b/tests/platform/listener_format_test.cc
@@ -0,0 +1,84 @@
+#include <criterion/criterion.h>
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "cornelhill/base/random.h"
+#include "cornelhill/segment/listener_table.h"
+
+namespace cornelhill {
+namespace {
+
+using Json = nlohmann::json;
+
+Json Document() {
+  return Json::parse(R"({"version":7,"routes":[
+    {"name":"r-1","host":"198.18.0.1","path_prefix":"/8443/",
+     "type":"idempotent","timeout_ms":500,"target_latency_ms":120,
+     "priority":2,"backends":[{"service":"a","weight":90},
+     {"service":"b","weight":10}],"max_attempts":2},
+    {"name":"r-2","host":"198.18.0.2","path_prefix":"/8443/",
+     "type":"upload","timeout_ms":3000,"target_latency_ms":500,
+     "priority":2,"service":"b","max_attempts":2}],
+    "services":[{"name":"a","health_path":"/health","max_conns":2000,
+     "protocol":"h1","tls":false},{"name":"b","health_path":"/health",
+     "max_conns":2000,"protocol":"h1","tls":false}],
+    "limits":{"idle_timeout_ms":15000}})");
+}
+
+Result<ListenerSet> Read(const Json& document) {
+  return ListenerFormatRegistry::Global()
+      .Find("platform")
+      ->read(document.dump());
+}
+
+Test(listener_format, reads_listeners) {
+  const ListenerSet set = Read(Document()).value();
+  cr_assert_eq(set.version, 7U);
+  cr_assert_eq(set.listeners.size(), 2U);
+  cr_assert(set.listeners[0].address == (Endpoint{0xc6120001, 8443}));
+  cr_assert_eq(set.listeners[0].shares.size(), 2U);
+  cr_assert_eq(set.listeners[0].shares[0].weight, 90U);
+  cr_assert(set.listeners[1].shares[0].service == ServiceKeyOf("b"));
+  cr_assert(set.listeners[1].work == WorkKind::kUpload);
+}
+
+// Each would put something in force that an operator did not mean.
+Test(listener_format, refuses_invalid_documents) {
+  std::vector<Json> invalid(12, Document());
+  invalid[0]["routes"][1]["service"] = "c";
+  invalid[1]["routes"][1]["host"] = "198.18.0.1";
+  invalid[2]["routes"][0]["timeout_ms"] = 0;
+  invalid[3]["routes"][0].erase("backends");
+  invalid[4]["routes"][0]["backends"][0]["weight"] = 0;
+  invalid[4]["routes"][0]["backends"][1]["weight"] = 0;
+  invalid[5]["version"] = "7";
+  invalid[6].erase("services");
+  invalid[7]["routes"][0]["path_prefix"] = "/x/";
+  invalid[8]["routes"][0]["type"] = "other";
+  invalid[9]["routes"][0]["backends"][0].erase("weight");
+  invalid[10]["routes"] = 5;
+  invalid[11]["routes"][0]["host"] = "host.example";
+  for (size_t i = 0; i < invalid.size(); ++i) {
+    cr_assert_not(Read(invalid[i]).has_value(), "document %zu", i);
+  }
+}
+
+// Guards against a document that lost its end on the way.
+Test(listener_format, refuses_documents_that_are_cut_or_mutated) {
+  const ListenerFormat& format =
+      *ListenerFormatRegistry::Global().Find("platform");
+  const std::string whole = Document().dump();
+  for (size_t size = 0; size < whole.size(); ++size) {
+    cr_assert_not(format.read(whole.substr(0, size)).has_value());
+  }
+  Random random(20261204);
+  for (int i = 0; i < 5000; ++i) {
+    std::string bytes = whole;
+    bytes[random.Below(bytes.size())] = static_cast<char>(random.Below(256));
+    (void)format.read(bytes);
+  }
+}
+
+}  // namespace
+}  // namespace cornelhill
--- /dev/null
+++ b/tests/segment/listener_table_test.cc
@@ -0,0 +1,98 @@
+#include "cornelhill/segment/listener_table.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+#include "cornelhill/base/random.h"
+
+namespace cornelhill {
+namespace {
+
+Listener MakeListener(uint16_t port, uint64_t service, uint32_t weight = 1) {
+  Listener listener;
+  listener.address = {0xc6120001, port};
+  listener.shares = {{ServiceKey(service), weight}};
+  return listener;
+}
+
+bool SameContent(const ListenerTable& a, const ListenerTable& b) {
+  const ListenerDelta left = a.DeltaSince(0);
+  const ListenerDelta right = b.DeltaSince(0);
+  if (left.to != right.to || left.changes.size() != right.changes.size()) {
+    return false;
+  }
+  for (size_t i = 0; i < left.changes.size(); ++i) {
+    if (left.changes[i].listener != right.changes[i].listener) return false;
+  }
+  return true;
+}
+
+// Fails where a process returns to an older version, in whatever way it came.
+Test(listener_table, a_version_never_goes_back) {
+  ListenerTable table;
+  cr_assert(table.Apply(ListenerSet{5, {MakeListener(1, 10)}}));
+  cr_assert_not(table.Apply(ListenerSet{5, {MakeListener(1, 11)}}));
+  cr_assert_not(table.Apply(ListenerSet{4, {}}));
+  cr_assert_not(table.Apply(ListenerDelta{0, 4, {}}));
+  cr_assert_not(table.Apply(ListenerDelta{6, 9, {}}), "starts above");
+  cr_assert_eq(table.Version(), 5U);
+  cr_assert_not_null(table.Find({0xc6120001, 1}));
+}
+
+// Compares tables that follow by deltas, at random points and after restarts
+// of the sender, with a naive copy of the latest set.
+Test(listener_table, deltas_lead_to_the_same_table_as_whole_sets) {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    Random random(seed);
+    std::map<uint16_t, Listener> naive;
+    ListenerTable sender;
+    ListenerTable receiver;
+    uint64_t version = 0;
+    for (int step = 0; step < 200; ++step) {
+      const auto port = static_cast<uint16_t>(random.Below(30));
+      if (random.Chance(0.3)) {
+        naive.erase(port);
+      } else {
+        naive[port] = MakeListener(port, random.Below(4));
+      }
+      version += 1 + random.Below(3);
+      ListenerSet set{version, {}};
+      for (const auto& [key, listener] : naive) {
+        set.listeners.push_back(listener);
+      }
+      if (random.Chance(0.05)) sender = ListenerTable();
+      cr_assert(sender.Apply(set));
+      if (random.Chance(0.5)) {
+        cr_assert(receiver.Apply(sender.DeltaSince(receiver.Version())),
+                  "seed %zu step %d", static_cast<size_t>(seed), step);
+        cr_assert(SameContent(sender, receiver), "seed %zu step %d",
+                  static_cast<size_t>(seed), step);
+        cr_assert_eq(receiver.Size(), naive.size());
+      }
+    }
+  }
+}
+
+// Fails where weights do not decide, or the pick differs between processes.
+Test(listener_table, weights_share_new_flows) {
+  Listener listener = MakeListener(1, 10, 90);
+  listener.shares.push_back({ServiceKey(20), 10});
+  int second = 0;
+  for (uint16_t port = 1; port <= 10000; ++port) {
+    const SegmentFlow flow{{0x64400007, port}, listener.address};
+    const ServiceKey picked = ListenerTable::PickService(listener, flow);
+    cr_assert_eq(picked.Value(),
+                 ListenerTable::PickService(listener, flow).Value());
+    if (picked == ServiceKey(20)) ++second;
+  }
+  cr_assert(second > 850 && second < 1150, "%d of 10000", second);
+  listener.shares[1].weight = 0;
+  listener.shares[0].weight = 0;
+  cr_assert_eq(
+      ListenerTable::PickService(listener, {{1, 1}, listener.address}).Value(),
+      0U);
+}
+
+}  // namespace
+}  // namespace cornelhill
--- /dev/null
+++ b/tests/segment/segment_agent_test.cc
@@ -0,0 +1,97 @@
+#include "cornelhill/segment/segment_agent.h"
+
+#include <criterion/criterion.h>
+
+#include "tests/segment/segment_world.h"
+
+namespace cornelhill {
+namespace {
+
+SegmentAgent MakeAgent() {
+  SegmentAgentSettings settings;
+  settings.address = AgentAt(0);
+  settings.service = "stream";
+  settings.format = text_format::Format();
+  return {std::move(settings), Millis(0)};
+}
+
+UpstreamReport MakeReport(uint64_t incarnation, uint64_t sequence,
+                          UpstreamState state = UpstreamState::kReady) {
+  return {"i-" + std::to_string(incarnation),
+          Incarnation(incarnation),
+          sequence,
+          "stream",
+          state,
+          2};
+}
+
+// Fails where a heartbeat that a partition held up brings a dead incarnation
+// back.
+Test(segment_agent, a_late_report_of_a_dead_incarnation_changes_nothing) {
+  SegmentAgent agent = MakeAgent();
+  cr_assert(agent.OnReport(Millis(10), MakeReport(7, 1)));
+  cr_assert(
+      agent.OnReport(Millis(20), MakeReport(7, 2, UpstreamState::kDraining)));
+  cr_assert_not(agent.OnReport(Millis(30), MakeReport(6, 90)));
+  cr_assert_not(agent.OnReport(Millis(30), MakeReport(7, 1)));
+  cr_assert_eq(agent.State(Millis(30)), UpstreamState::kDraining);
+  agent.OnLeave("i-6");
+  cr_assert_eq(agent.State(Millis(30)), UpstreamState::kDraining);
+  agent.OnLeave("i-7");
+  cr_assert_eq(agent.State(Millis(30)), UpstreamState::kGone);
+  cr_assert(agent.OnReport(Millis(40), MakeReport(8, 1)));
+  cr_assert_eq(agent.State(Millis(40)), UpstreamState::kReady);
+}
+
+// Fails where an upstream that went silent is offered new flows.
+Test(segment_agent, a_silent_upstream_takes_no_new_flow) {
+  SegmentAgent agent = MakeAgent();
+  cr_assert_eq(agent.State(Millis(5)), UpstreamState::kUnknown);
+  agent.OnReport(Millis(10), MakeReport(7, 1));
+  cr_assert_eq(agent.State(Millis(4000)), UpstreamState::kReady);
+  cr_assert_eq(agent.State(Millis(4100)), UpstreamState::kUnknown);
+}
+
+// Fails where a caller waits for an upstream that has started anew, or where a
+// flow of a living upstream is reset.
+Test(segment_agent, a_returned_flow_is_reset_only_after_a_new_start) {
+  for (const bool restarted : {false, true}) {
+    SegmentWorld world;
+    world.AddBalancer(0);
+    world.AddAgent(0);
+    world.Report(0);
+    world.Spread();
+    world.Send(0, FirstPacket(CallerAt(1)));
+    world.Send(0, DataPacket(CallerAt(1)));
+    world.upstreams[AgentAt(0)].flows.clear();
+    if (restarted) {
+      UpstreamReport report = world.ReportOf(0);
+      report.incarnation = Incarnation(6);
+      world.agents.at(AgentAt(0))->OnReport(world.now, report);
+    }
+    world.Send(0, DataPacket(CallerAt(1), 200));
+    cr_assert_eq(world.Resets(), restarted ? 1U : 0U);
+  }
+}
+
+// Fails where the load that balancers place by counts work that has ended.
+Test(segment_agent, load_counts_requests_in_flight) {
+  SegmentWorld world;
+  world.AddBalancer(0);
+  world.AddAgent(0);
+  world.Report(0);
+  world.Spread();
+  world.Send(0, FirstPacket(CallerAt(1)));
+  SegmentAgent& agent = *world.agents.at(AgentAt(0));
+  cr_assert_eq(agent.Record(world.now).load_milli, 250U, "one flow opens");
+  world.Send(0, DataPacket(CallerAt(1)));
+  cr_assert_eq(agent.BusyFlows(), 0U, "the upstream has answered");
+  world.upstreams[AgentAt(0)].silent = true;
+  world.Send(0, DataPacket(CallerAt(1), 111));
+  cr_assert_eq(agent.BusyFlows(), 1U);
+  world.Send(0, DataPacket(CallerAt(1), 111));
+  cr_assert_eq(agent.BusyFlows(), 1U, "a retransmission is no new request");
+}
+
+}  // namespace
+}  // namespace cornelhill
