Reset flows that no living agent holds

Cause: after a crash or a loss of power each request on an open flow whose upstream was gone waited until its deadline, although every agent knew that it does not hold the flow; and a process that tried to connect to a machine without power tried again only after 1 s, so that balancers had their listeners up to 0.5 s after the first ones.

A balancer resets such a flow once every agent of a complete directory has said no. An agent that is down, restarting or cut off says nothing, so a flow of a living upstream is not reset. Ruled out: a reset after a time without answer.

--- a/include/cornelhill/daemon/node_socket.h
+++ b/include/cornelhill/daemon/node_socket.h
@@ -37,6 +37,9 @@
   // Binds the ROUTER. Call at most once.
   Result<void> Bind(const Endpoint& address);
 
+  // Connects ahead of the first message.
+  void Connect(const Endpoint& address);
+
   // Sends to the process that listens at `address`; connects where needed. The
   // message is dropped while there is no connection.
   void Send(const Endpoint& address, const std::string& bytes);
--- a/include/cornelhill/segment/segment_agent.h
+++ b/include/cornelhill/segment/segment_agent.h
@@ -156,6 +156,8 @@
                   SegmentAgentOutput* out);
   void OnReturnedFirst(Millis now, const SegmentFlow& flow,
                        std::string datagram, SegmentAgentOutput* out);
+  void ReplyNotSought(Millis now, const SegmentFlow& flow, const Endpoint& to,
+                      SegmentAgentOutput* out);
   Flow& Adopt(Millis now, const SegmentFlow& flow, SegmentAgentOutput* out);
   void ToUpstream(std::string datagram, SegmentAgentOutput* out);
   void Reply(Millis now, const Endpoint& to, SegmentMessage message,
--- a/include/cornelhill/segment/segment_balancer.h
+++ b/include/cornelhill/segment/segment_balancer.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,10 +35,11 @@
   kSeekStarted = 4,
   kSeekFailed = 5,
   kMalformed = 6,
+  kFlowLost = 7,  // No agent holds it; the caller was sent a reset.
 };
 
 // Number of `BalancerEventKind` values.
-constexpr uint32_t kBalancerEventKindCount = 7;
+constexpr uint32_t kBalancerEventKindCount = 8;
 
 std::string_view ToString(BalancerEventKind kind);
 
@@ -125,6 +127,7 @@
     bool failed = false;   // Nobody answered; kept so that it is not repeated.
     Millis pause;          // Until the next seek after a failed one.
     std::optional<Endpoint> except;
+    std::set<Endpoint> unanswered;  // Agents that have not said no.
   };
 
   // What this balancer knows of an agent beyond the directory.
@@ -166,6 +169,8 @@
                  BalancerOutput* out);
   void OnNotHeld(Millis now, const Endpoint& from, SegmentMessage message,
                  BalancerOutput* out);
+  void OnSoughtInVain(Millis now, const Endpoint& from,
+                      const SegmentMessage& message, BalancerOutput* out);
   void OnHeld(Millis now, const Endpoint& from, const SegmentMessage& message,
               BalancerOutput* out);
   void LearnLoad(Millis now, const Endpoint& from,
@@ -174,6 +179,7 @@
   SegmentBalancerSettings settings;
   ListenerTable listeners;
   AgentDirectory agents;
+  Millis agents_complete_until;  // Until then no living agent is missing.
   std::map<Endpoint, Standing> standings;
   std::unordered_map<SegmentFlow, Flow> flows;
   std::unordered_map<SegmentFlow, Seek> seeks;
--- a/include/cornelhill/segment/segment_messages.h
+++ b/include/cornelhill/segment/segment_messages.h
@@ -52,6 +52,7 @@
   kLoad = 4,     // The offer was taken.
   kRefused = 5,  // The offer was not taken; holds the packet.
   kNotHeld = 6,  // The flow of a delivered packet is not known; holds it.
+                 // Without a packet: that of a sought one.
   kHeld = 7,     // The flow of a sought packet is held here.
 };
 
@@ -105,6 +106,9 @@
   ListenerDelta listeners;  // `to` is 0 where there is none.
   std::vector<AgentRecord> agents;
   std::vector<std::string> members;  // Addresses of the core members.
+  // `agents` are all that live: the sender has run long enough to have heard of
+  // each.
+  bool complete = false;
 };
 
 // From a core member without a member id, or one that may have been removed.
--- a/src/daemon/core_role.cc
+++ b/src/daemon/core_role.cc
@@ -33,6 +33,8 @@
 constexpr Millis kElectionTimeout{500};
 constexpr Millis kStartupElectionTimeout{150};
 constexpr Millis kHeartbeat{100};
+// Agents reconnect within 0.45 s and speak once a second.
+constexpr Millis kDirectorySettles{1500};
 // Requests that are being answered end in this time.
 constexpr Millis kDrainPeriod{300};
 // How long a member waits for a leader before it asks whether it was removed.
@@ -63,6 +65,10 @@
     BOOST_OUTCOME_TRY(this->operators.Listen(*this->settings.operators));
     this->OpenLog();
     if (this->log == nullptr && this->MayBootstrap()) this->Bootstrap();
+    for (const Endpoint& address : this->OtherCores()) {
+      this->socket.Connect(address);
+    }
+    this->started = MonotonicNow();
     this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
     this->runtime.Every(kMembershipPeriod, [this] { this->TendMembership(); });
     this->runtime.Every(kJoinPeriod, [this] { this->AskToJoin(); });
@@ -420,8 +426,10 @@
       const bool changed = this->directory.Merge(now, hello.agent.front());
       if (changed) this->PushAgent(hello.agent.front());
     }
-    this->SendUpdate(&daemon, hello.directory ? this->directory.Records(now)
-                                              : std::vector<AgentRecord>{});
+    this->SendUpdate(&daemon,
+                     hello.directory ? this->directory.Records(now)
+                                     : std::vector<AgentRecord>{},
+                     hello.directory);
   }
 
   void PushAgent(const AgentRecord& record) {
@@ -434,10 +442,13 @@
     }
   }
 
-  void SendUpdate(Daemon* daemon, std::vector<AgentRecord> agents) {
+  void SendUpdate(Daemon* daemon, std::vector<AgentRecord> agents,
+                  bool whole_directory = false) {
     Update update;
     update.agents = std::move(agents);
     update.members = this->MemberTexts();
+    update.complete =
+        whole_directory && MonotonicNow() - this->started > kDirectorySettles;
     if (daemon->balancer && daemon->listener_version < this->table.Version()) {
       update.listeners = this->table.DeltaSince(daemon->listener_version);
       // Stated again by the next hello where this message is lost.
@@ -571,6 +582,7 @@
   bool draining = false;
   std::string halt_reason;
   Millis leader_heard;
+  Millis started;
   CoreMembership membership;
   std::map<MemberId, Endpoint> addresses;  // As messages stated them.
   ListenerTable table;
--- a/src/daemon/node_socket.cc
+++ b/src/daemon/node_socket.cc
@@ -18,7 +18,9 @@
 // A silent connection is replaced before a core member counts an agent as gone.
 constexpr int kHeartbeatMs = 1000;
 constexpr int kHeartbeatTimeoutMs = 2500;
-constexpr int kConnectTimeoutMs = 1000;
+// Ten round trips between failure domains; a machine without power does not
+// answer, and comes back at any moment.
+constexpr int kConnectTimeoutMs = 250;
 constexpr int kReconnectMs = 100;
 // After a loss of power the others listen within half a second of each other.
 constexpr int kReconnectMaxMs = 200;
@@ -152,6 +154,10 @@
   return boost::outcome_v2::success();
 }
 
+void NodeSocket::Connect(const Endpoint& address) {
+  this->impl->DealerOf(address);
+}
+
 void NodeSocket::Send(const Endpoint& address, const std::string& bytes) {
   const std::shared_ptr<Impl::Watched> dealer = this->impl->DealerOf(address);
   dealer->socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -19,8 +19,6 @@
 constexpr uint32_t kAllSlotsBusy = 1000;
 // A caller gives up opening a flow after 1.4 s.
 constexpr Millis kOpeningLifetime{1500};
-// Listeners close flows that idle for 15 s.
-constexpr Millis kFlowIdle{20000};
 // The last acknowledgements of a closed flow, and its retransmissions.
 constexpr Millis kClosedLinger{4000};
 constexpr Millis kSweepPeriod{1000};
@@ -247,11 +245,26 @@
     this->Try(now, flow, from, std::move(message), out);
     return;
   }
-  if (sought) return;
+  if (sought) {
+    if (this->report.has_value()) {
+      this->ReplyNotSought(now, flow, from, out);
+    }
+    return;
+  }
   message.kind = SegmentMessageKind::kNotHeld;
   this->Reply(now, from, std::move(message), out);
 }
 
+// A search that no agent answers otherwise ends with a reset, so an agent that
+// cannot know says nothing.
+void SegmentAgent::ReplyNotSought(Millis now, const SegmentFlow& flow,
+                                  const Endpoint& to, SegmentAgentOutput* out) {
+  SegmentMessage message;
+  message.kind = SegmentMessageKind::kNotHeld;
+  message.flow = flow;
+  this->Reply(now, to, std::move(message), out);
+}
+
 void SegmentAgent::Try(Millis now, const SegmentFlow& flow,
                        const Endpoint& from, SegmentMessage message,
                        SegmentAgentOutput* out) {
@@ -320,7 +333,10 @@
     const Endpoint balancer = trial->second.balancer;
     const bool sought = trial->second.sought;
     this->trials.erase(trial);
-    if (sought) return;
+    if (sought) {
+      this->ReplyNotSought(now, flow, balancer, out);
+      return;
+    }
     SegmentMessage message;
     message.kind = SegmentMessageKind::kNotHeld;
     message.datagram = std::move(datagram);
@@ -435,7 +451,7 @@
         state.declined || (state.caller_closed && state.upstream_closed);
     if (!state.opened && now - state.opened_at > kOpeningLifetime) {
       gone.push_back(flow);
-    } else if (idle > (ended ? kClosedLinger : kFlowIdle)) {
+    } else if (idle > (ended ? kClosedLinger : this->settings.flow_lifetime)) {
       gone.push_back(flow);
     } else if (state.busy && idle > kBusyLifetime) {
       this->SetBusy(&state, false);
--- a/src/segment/segment_balancer.cc
+++ b/src/segment/segment_balancer.cc
@@ -27,6 +27,8 @@
 // A flow that was idle for longer than this is sought again when it goes on;
 // listeners close flows that idle for 15 s.
 constexpr Millis kFlowIdle{20000};
+// A whole directory comes once a second.
+constexpr Millis kCompleteFor{1600};
 constexpr Millis kSweepPeriod{1000};
 // Offers that an agent has not replied to count as load for this long.
 constexpr Millis kOfferMemory{100};
@@ -54,7 +56,7 @@
 std::string_view ToString(BalancerEventKind kind) {
   static constexpr std::array<std::string_view, kBalancerEventKindCount>
       kNames = {"no_listener",  "no_agent",    "offer_refused", "not_held",
-                "seek_started", "seek_failed", "malformed"};
+                "seek_started", "seek_failed", "malformed",     "flow_lost"};
   return kNames.at(static_cast<size_t>(kind));
 }
 
@@ -62,6 +64,7 @@
     : settings(std::move(settings)), random(this->settings.seed) {}
 
 bool SegmentBalancer::OnUpdate(Millis now, const Update& update) {
+  if (update.complete) this->agents_complete_until = now + kCompleteFor;
   for (const AgentRecord& record : update.agents) {
     if (this->agents.Merge(now, record) &&
         record.state == UpstreamState::kReady) {
@@ -260,6 +263,7 @@
   seek.held.push_back(std::move(datagram));
   seek.started = now;
   seek.except = except;
+  seek.unanswered.clear();
   ++this->seeking;
   ++this->counters.seeks;
   out->events.push_back({BalancerEventKind::kSeekStarted, flow});
@@ -279,10 +283,12 @@
   seek->widened = seek->widened || wide || listener == nullptr;
   for (const auto& [address, entry] : this->agents.Entries()) {
     if (address == seek->except) continue;
+    if (entry.record.state == UpstreamState::kGone) continue;
     if (listener != nullptr && serves(entry.record) == wide) continue;
     SegmentMessage message;
     message.kind = SegmentMessageKind::kSeek;
     message.datagram = seek->held.front();
+    seek->unanswered.insert(address);
     out->agents.push_back({address, std::move(message)});
   }
 }
@@ -295,7 +301,11 @@
       this->OnRefused(now, from, std::move(message), out);
       break;
     case SegmentMessageKind::kNotHeld:
-      this->OnNotHeld(now, from, std::move(message), out);
+      if (message.datagram.empty()) {
+        this->OnSoughtInVain(now, from, message, out);
+      } else {
+        this->OnNotHeld(now, from, std::move(message), out);
+      }
       break;
     case SegmentMessageKind::kHeld:
       this->OnHeld(now, from, message, out);
@@ -375,6 +385,33 @@
   this->StartSeek(now, flow, std::move(message.datagram), from, out);
 }
 
+// Once every living agent has said that it does not hold a flow, its upstream
+// is gone: the caller gets its answer at once.
+void SegmentBalancer::OnSoughtInVain(Millis now, const Endpoint& from,
+                                     const SegmentMessage& message,
+                                     BalancerOutput* out) {
+  const auto found = this->seeks.find(message.flow);
+  if (found == this->seeks.end() || found->second.failed) return;
+  Seek& seek = found->second;
+  seek.unanswered.erase(from);
+  if (!seek.unanswered.empty()) return;
+  if (!seek.widened) this->SendSeek(message.flow, &seek, true, out);
+  if (!seek.unanswered.empty() || now > this->agents_complete_until) return;
+  const Result<Segment> first = this->settings.format.read(seek.held.front());
+  out->callers.push_back(
+      {message.flow.caller,
+       this->settings.format.reset(message.flow.listener, message.flow.caller,
+                                   first.value().acknowledged)});
+  BalancerEvent event{BalancerEventKind::kFlowLost, message.flow};
+  event.reset = true;
+  out->events.push_back(event);
+  ++this->counters.resets;
+  --this->seeking;
+  seek.failed = true;
+  seek.started = now;
+  seek.held.clear();
+}
+
 void SegmentBalancer::OnHeld(Millis now, const Endpoint& from,
                              const SegmentMessage& message,
                              BalancerOutput* out) {
--- a/src/segment/segment_messages.cc
+++ b/src/segment/segment_messages.cc
@@ -144,6 +144,7 @@
       ToProto(record, body->add_agents());
     }
     for (const std::string& member : in.members) body->add_members(member);
+    body->set_complete(in.complete);
   }
   void operator()(const CoreJoin& in) const {
     pb::CoreJoin* body = this->out->mutable_join();
@@ -190,6 +191,7 @@
   BOOST_OUTCOME_TRY(agents, ReadAgents(in.agents()));
   out.agents = std::move(agents);
   out.members = {in.members().begin(), in.members().end()};
+  out.complete = in.complete();
   return NodeMessage(std::move(out));
 }
 
--- a/tests/segment/segment_path_test.cc
+++ b/tests/segment/segment_path_test.cc
@@ -199,5 +199,29 @@
   cr_assert_eq(world.Resets(), 0U);
 }
 
+// Fails where a caller waits for the deadline of each request on a flow whose
+// upstream is gone, or where a flow is reset although an agent did not answer.
+Test(segment_path, a_flow_that_no_agent_holds_is_reset) {
+  for (const bool one_is_down : {false, true}) {
+    SegmentWorld world = MakeWorld(4);
+    world.SpreadComplete();
+    if (one_is_down) world.agents[AgentAt(2)].reset();
+    world.Send(0, DataPacket(CallerAt(1)));
+    cr_assert_eq(world.Resets(), one_is_down ? 0U : 1U);
+  }
+}
+
+// Fails where a balancer that has not heard of all agents takes a flow for
+// lost.
+Test(segment_path, a_flow_is_not_reset_by_an_incomplete_directory) {
+  SegmentWorld world = MakeWorld(4);
+  world.Send(0, DataPacket(CallerAt(1)));
+  cr_assert_eq(world.Resets(), 0U);
+  world.SpreadComplete();
+  world.now += Millis(5000);
+  world.Send(1, DataPacket(CallerAt(1)));
+  cr_assert_eq(world.Resets(), 0U, "the directory is five seconds old");
+}
+
 }  // namespace
 }  // namespace cornelhill
--- a/tests/segment/segment_world.h
+++ b/tests/segment/segment_world.h
@@ -172,8 +172,11 @@
   }
 
   // Brings listeners and agents to every balancer.
-  void Spread() {
+  void SpreadComplete() { this->Spread(true); }
+
+  void Spread(bool complete = false) {
     Update update;
+    update.complete = complete;
     ListenerTable table;
     table.Apply(this->listeners);
     update.listeners = table.DeltaSince(0);
