Split the node processes from the first roles, load fewer libraries

Cause: every process loaded 60 shared libraries at start, most of them for the roles with a configured list of control instances, which the platform does not use; at 0.055 of a core the start takes up to half a second.

cornelhilld now selects a mode that registers itself; the platform's build has only the node mode and links Abseil from archives: 24 libraries.

--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -3,18 +3,15 @@
     # g++ 12 reports false positives for std::variant.
     -Wno-maybe-uninitialized)
 
-# Adds the library cornelhill_NAME from src/NAME/*.cc, or the folder SOURCES without the source EXCLUDE, and, where tests/NAME
+# Adds the library cornelhill_NAME from src/NAME/*.cc, or the folder SOURCES, and, where tests/NAME
 # holds sources, its one test program test_NAME. WHOLE_ARCHIVE links all of the
 # library into its test program, for sources that only register themselves.
 function(cornelhill_library name)
-  cmake_parse_arguments(ARG "WHOLE_ARCHIVE" "SOURCES;EXCLUDE" "LINK" ${ARGN})
+  cmake_parse_arguments(ARG "WHOLE_ARCHIVE" "SOURCES" "LINK" ${ARGN})
   if(NOT ARG_SOURCES)
     set(ARG_SOURCES src/${name})
   endif()
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${ARG_SOURCES}/*.cc)
-  if(ARG_EXCLUDE)
-    list(FILTER sources EXCLUDE REGEX "/${ARG_EXCLUDE}\\.cc$")
-  endif()
   set(target cornelhill_${name})
   if(sources)
     add_library(${target} STATIC ${sources})
@@ -54,10 +51,13 @@
   target_link_libraries(cornelhill_${name} PUBLIC protobuf::libprotobuf)
 endfunction()
 
-# Adds a program from DIR/*.cc.
+# Adds a program from DIR/*.cc without the source EXCLUDE.
 function(cornelhill_program name dir)
-  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  cmake_parse_arguments(ARG "" "EXCLUDE" "LINK" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${dir}/*.cc)
+  if(ARG_EXCLUDE)
+    list(FILTER sources EXCLUDE REGEX "/${ARG_EXCLUDE}\\.cc$")
+  endif()
   if(NOT sources)
     return()
   endif()
@@ -86,3 +86,15 @@
         RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bench)
   endforeach()
 endfunction()
+
+# Makes the imported targets of Abseil stand for its archives.
+function(cornelhill_static_absl)
+  file(GLOB archives /usr/lib/${CMAKE_LIBRARY_ARCHITECTURE}/libabsl_*.a)
+  foreach(archive ${archives})
+    string(REGEX REPLACE ".*/libabsl_(.*)\\.a$" "absl::\\1" target ${archive})
+    if(TARGET ${target})
+      set_target_properties(${target} PROPERTIES
+          IMPORTED_LOCATION_NONE ${archive} IMPORTED_LOCATION ${archive})
+    endif()
+  endforeach()
+endfunction()
--- a/include/cornelhill/daemon/api.h
+++ b/include/cornelhill/node/api.h
@@ -5,7 +5,7 @@
 #include <variant>
 
 #include "cornelhill/base/registry.h"
-#include "cornelhill/daemon/http_server.h"
+#include "cornelhill/node/http_server.h"
 #include "cornelhill/segment/segment_agent.h"
 
 namespace cornelhill {
--- a/include/cornelhill/daemon/core_link.h
+++ b/include/cornelhill/node/core_link.h
@@ -8,8 +8,8 @@
 
 #include "cornelhill/base/millis.h"
 #include "cornelhill/config/node_settings.h"
-#include "cornelhill/daemon/node_socket.h"
-#include "cornelhill/daemon/runtime.h"
+#include "cornelhill/node/node_socket.h"
+#include "cornelhill/node/runtime.h"
 #include "cornelhill/segment/segment_messages.h"
 
 namespace cornelhill {
--- a/include/cornelhill/daemon/node_roles.h
+++ b/include/cornelhill/node/node_roles.h
@@ -2,7 +2,7 @@
 
 #include "cornelhill/base/result.h"
 #include "cornelhill/config/node_settings.h"
-#include "cornelhill/daemon/api.h"
+#include "cornelhill/node/api.h"
 #include "cornelhill/segment/listener_table.h"
 #include "cornelhill/segment/segment.h"
 
--- a/src/daemon/control_log.cc
+++ b/src/node/control_log.cc
@@ -1,4 +1,4 @@
-#include "cornelhill/daemon/control_log.h"
+#include "cornelhill/node/control_log.h"
 
 #include <utility>
 #include <vector>
--- a/src/daemon/core_link.cc
+++ b/src/node/core_link.cc
@@ -1,4 +1,4 @@
-#include "cornelhill/daemon/core_link.h"
+#include "cornelhill/node/core_link.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/daemon/datagram_socket.cc
+++ b/src/node/datagram_socket.cc
@@ -1,4 +1,4 @@
-#include "cornelhill/daemon/datagram_socket.h"
+#include "cornelhill/node/datagram_socket.h"
 
 #include <sys/socket.h>
 
--- a/src/daemon/entry_role.cc
+++ b/src/node/entry_role.cc
@@ -5,11 +5,11 @@
 
 #include "cornelhill/base/log.h"
 #include "cornelhill/base/random.h"
-#include "cornelhill/daemon/core_link.h"
-#include "cornelhill/daemon/datagram_socket.h"
-#include "cornelhill/daemon/http_server.h"
-#include "cornelhill/daemon/node_roles.h"
-#include "cornelhill/daemon/runtime.h"
+#include "cornelhill/node/core_link.h"
+#include "cornelhill/node/datagram_socket.h"
+#include "cornelhill/node/http_server.h"
+#include "cornelhill/node/node_roles.h"
+#include "cornelhill/node/runtime.h"
 #include "cornelhill/segment/segment_balancer.h"
 
 namespace cornelhill {
--- a/src/daemon/http_server.cc
+++ b/src/node/http_server.cc
@@ -1,4 +1,4 @@
-#include "cornelhill/daemon/http_server.h"
+#include "cornelhill/node/http_server.h"
 
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
--- a/src/daemon/node_roles.cc
+++ b/src/node/node_roles.cc
@@ -1,4 +1,4 @@
-#include "cornelhill/daemon/node_roles.h"
+#include "cornelhill/node/node_roles.h"
 
 namespace cornelhill {
 
--- a/src/daemon/node_socket.cc
+++ b/src/node/node_socket.cc
@@ -1,4 +1,4 @@
-#include "cornelhill/daemon/node_socket.h"
+#include "cornelhill/node/node_socket.h"
 
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
--- a/tests/platform/api_format_test.cc
+++ b/tests/platform/api_format_test.cc
@@ -3,7 +3,7 @@
 #include <vector>
 
 #include "cornelhill/base/random.h"
-#include "cornelhill/daemon/api.h"
+#include "cornelhill/node/api.h"
 
 namespace cornelhill {
 namespace {
