Serve metrics and read the settings again in node processes

Cause: the engineers on call had counters in log lines only, and a changed settings file took effect at the next start only.

--- a/include/cornelhill/config/node_settings.h
+++ b/include/cornelhill/config/node_settings.h
@@ -40,6 +40,10 @@
   Millis grace{6000};
   Millis flow_lifetime{60000};
   Millis heartbeat{1200};
+  std::optional<Endpoint> metrics;
+  std::string path;  // Of the file that the settings were read from.
+
+  bool operator==(const NodeSettings&) const = default;
 
   // Where core members reach each other and are reached.
   Endpoint CoreAddress() const { return {this->address, this->base_port}; }
--- a/include/cornelhill/node/core_link.h
+++ b/include/cornelhill/node/core_link.h
@@ -29,6 +29,9 @@
 
   void Start();
 
+  // Replaces the seeds; members that were found otherwise stay.
+  void SetSeeds(const std::vector<Endpoint>& seeds);
+
   // Says it now instead of with the next period.
   void SayHello();
 
@@ -50,6 +53,8 @@
 
   Runtime& runtime;
   const NodeSettings& settings;
+  std::vector<Endpoint> seeds;
+  std::vector<std::string> member_texts;  // As the last update stated them.
   Handlers handlers;
   NodeSocket socket;
   std::map<Endpoint, Member> members;
--- a/include/cornelhill/node/http_server.h
+++ b/include/cornelhill/node/http_server.h
@@ -20,8 +20,9 @@
 
 struct HttpResponse {
   uint32_t status = 200;
-  std::string body;  // JSON; may be empty.
+  std::string body;  // May be empty.
   std::string location;
+  std::string content_type;  // Empty: JSON.
 };
 
 // Answers HTTP/1.1 requests on one address. Runs on the thread of the event
--- /dev/null
+++ b/include/cornelhill/node/node_metrics.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cornelhill/base/flow_key.h"
+#include "cornelhill/base/millis.h"
+#include "cornelhill/base/result.h"
+#include "cornelhill/node/http_server.h"
+
+namespace cornelhill {
+
+// The counters, gauges and histograms of one node process, served as text at
+// /metrics by its own event loop. `docs/metrics.md` lists them. Runs on the
+// thread of the event loop.
+class NodeMetrics {
+ public:
+  // `role` is a label of every metric.
+  NodeMetrics(boost::asio::io_context& io, const std::string& role);
+  ~NodeMetrics();
+  NodeMetrics(const NodeMetrics&) = delete;
+  NodeMetrics& operator=(const NodeMetrics&) = delete;
+
+  Result<void> Listen(const Endpoint& address);
+
+  // Called before each answer, to set gauges.
+  void OnCollect(std::function<void()> action);
+
+  // Counts a decision by its event name and reason; both from fixed sets.
+  void CountDecision(std::string_view event, std::string_view reason);
+
+  // Sets a value by name, e.g. "cornelhill_node_flows".
+  void SetGauge(const std::string& name, double value);
+
+  // Adds to a histogram of times by name, e.g. "..._first_reply_seconds".
+  void ObserveTime(const std::string& name, Millis time);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace cornelhill
--- a/include/cornelhill/segment/segment_agent.h
+++ b/include/cornelhill/segment/segment_agent.h
@@ -75,6 +75,10 @@
   std::vector<std::string> upstream;  // Datagrams.
   std::vector<ToCaller> callers;
   std::vector<AgentDecision> decisions;
+  // Times from an accepted first packet to the upstream's reply, and from a
+  // request's first data to the answer's.
+  std::vector<Millis> first_replies;
+  std::vector<Millis> answers;
 };
 
 // The decisions of the agent beside one upstream for flows of a stream
@@ -133,6 +137,7 @@
     Endpoint balancer;
     Incarnation incarnation;  // Of the upstream that the flow opened at.
     Millis opened_at;
+    Millis busy_since;
     Millis seen;
   };
 
--- a/src/config/node_settings.cc
+++ b/src/config/node_settings.cc
@@ -168,6 +168,7 @@
   out.flow_lifetime =
       Millis(reader.Number("flow_lifetime_ms", 60000, 1000, kMaxMillis));
   out.heartbeat = Millis(reader.Number("heartbeat_ms", 1200, 50, kMaxMillis));
+  out.metrics = reader.Address("metrics", false);
   const std::string fault = reader.Fault();
   if (!fault.empty()) return Fail(ErrorCode::kInvalidArgument, fault);
   return out;
@@ -178,7 +179,9 @@
   if (!in) return Fail(ErrorCode::kNotFound, path + ": cannot be read");
   std::stringstream text;
   text << in.rdbuf();
-  return ParseNodeSettings(text.str(), path);
+  BOOST_OUTCOME_TRY(settings, ParseNodeSettings(text.str(), path));
+  settings.path = path;
+  return settings;
 }
 
 }  // namespace cornelhill
--- a/src/cornelhilld/main.cc
+++ b/src/cornelhilld/main.cc
@@ -10,7 +10,6 @@
 
 #include "cornelhill/node/daemon_mode.h"
 
-
 ABSL_FLAG(std::string, config, "",
           "settings file (JSON); see docs/settings.md");
 ABSL_FLAG(bool, bootstrap, false,
--- a/src/daemon/balancer_role.cc
+++ b/src/daemon/balancer_role.cc
@@ -12,12 +12,12 @@
 
 #include "cornelhill/base/log.h"
 #include "cornelhill/daemon/control_client.h"
-#include "cornelhill/node/datagram_socket.h"
 #include "cornelhill/daemon/drop_log.h"
 #include "cornelhill/daemon/process_observer.h"
 #include "cornelhill/daemon/roles.h"
-#include "cornelhill/node/runtime.h"
 #include "cornelhill/ingress/ingress.h"
+#include "cornelhill/node/datagram_socket.h"
+#include "cornelhill/node/runtime.h"
 #include "cornelhill/route/balancer.h"
 
 namespace cornelhill {
--- a/src/daemon/control_role.cc
+++ b/src/daemon/control_role.cc
@@ -16,11 +16,11 @@
 #include "cornelhill/control/lease_table.h"
 #include "cornelhill/control/operator_session.h"
 #include "cornelhill/control/spread_node.h"
-#include "cornelhill/node/control_log.h"
-#include "cornelhill/daemon/message_node.h"
 #include "cornelhill/daemon/drop_log.h"
+#include "cornelhill/daemon/message_node.h"
 #include "cornelhill/daemon/process_observer.h"
 #include "cornelhill/daemon/roles.h"
+#include "cornelhill/node/control_log.h"
 #include "cornelhill/node/runtime.h"
 
 namespace cornelhill {
--- a/src/node/core_link.cc
+++ b/src/node/core_link.cc
@@ -26,6 +26,7 @@
                    Handlers handlers)
     : runtime(runtime),
       settings(settings),
+      seeds(settings.seeds),
       handlers(std::move(handlers)),
       socket(runtime.Io(),
              settings.instance + "/" + std::to_string(RandomSeed()),
@@ -63,6 +64,11 @@
                      });
 }
 
+void CoreLink::SetSeeds(const std::vector<Endpoint>& next) {
+  this->seeds = next;
+  this->SetMembers(std::vector<std::string>(this->member_texts));
+}
+
 void CoreLink::SayHello() {
   const Millis now = MonotonicNow();
   Hello hello = this->handlers.hello();
@@ -112,7 +118,8 @@
 
 void CoreLink::SetMembers(const std::vector<std::string>& texts) {
   std::map<Endpoint, Member> next;
-  for (const Endpoint& seed : this->settings.seeds) {
+  this->member_texts = texts;
+  for (const Endpoint& seed : this->seeds) {
     next[this->settings.CoreAddressOf(seed)];
   }
   for (const std::string& text : texts) {
--- a/src/node/core_role.cc
+++ b/src/node/core_role.cc
@@ -14,9 +14,11 @@
 #include "cornelhill/control/core_membership.h"
 #include "cornelhill/node/control_log.h"
 #include "cornelhill/node/http_server.h"
+#include "cornelhill/node/node_metrics.h"
 #include "cornelhill/node/node_roles.h"
 #include "cornelhill/node/node_socket.h"
 #include "cornelhill/node/runtime.h"
+#include "cornelhill/node/settings_watch.h"
 #include "cornelhill/segment/agent_directory.h"
 #include "cornelhill/segment/listener_table.h"
 
@@ -55,10 +57,15 @@
                [this](const NodeSocket::Peer& peer, const std::string& bytes) {
                  this->OnMessage(peer, bytes);
                }),
-        operators(runtime.Io(), [this](const HttpRequest& request,
-                                       const HttpServer::Respond& respond) {
-          this->OnRequest(request, respond);
-        }) {}
+        operators(runtime.Io(),
+                  [this](const HttpRequest& request,
+                         const HttpServer::Respond& respond) {
+                    this->OnRequest(request, respond);
+                  }),
+        seeds(settings.seeds),
+        watch(runtime, settings,
+              [this](const auto& changed) { this->seeds = changed; }),
+        metrics(runtime.Io(), "core") {}
 
   Result<void> Run() {
     BOOST_OUTCOME_TRY(this->socket.Bind(this->settings.CoreAddress()));
@@ -69,6 +76,11 @@
       this->socket.Connect(address);
     }
     this->started = MonotonicNow();
+    this->watch.Start();
+    if (this->settings.metrics.has_value()) {
+      BOOST_OUTCOME_TRY(this->metrics.Listen(*this->settings.metrics));
+    }
+    this->metrics.OnCollect([this] { this->SetGauges(); });
     this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
     this->runtime.Every(kMembershipPeriod, [this] { this->TendMembership(); });
     this->runtime.Every(kJoinPeriod, [this] { this->AskToJoin(); });
@@ -209,7 +221,7 @@
 
   std::vector<Endpoint> OtherCores() const {
     std::vector<Endpoint> out;
-    for (const Endpoint& seed_address : this->settings.seeds) {
+    for (const Endpoint& seed_address : this->seeds) {
       out.push_back(this->settings.CoreAddressOf(seed_address));
     }
     for (const std::string& text : this->MemberTexts()) {
@@ -492,6 +504,24 @@
     }
   }
 
+  void SetGauges() {
+    const bool open = this->log != nullptr;
+    const ReplicaStatus status =
+        open ? this->log->Status(MonotonicNow()) : ReplicaStatus();
+    this->metrics.SetGauge("cornelhill_node_leads", this->Leads() ? 1 : 0);
+    this->metrics.SetGauge("cornelhill_node_log_open", open ? 1 : 0);
+    this->metrics.SetGauge(
+        "cornelhill_node_members",
+        static_cast<double>(status.membership.members.size()));
+    this->metrics.SetGauge("cornelhill_node_faults_tolerated",
+                           status.faults_tolerated);
+    this->metrics.SetGauge("cornelhill_node_listener_version",
+                           static_cast<double>(this->table.Version()));
+    this->metrics.SetGauge(
+        "cornelhill_node_agents",
+        static_cast<double>(this->directory.Entries().size()));
+  }
+
   bool Leads() const {
     return this->log != nullptr &&
            this->log->Status(MonotonicNow()).role == ReplicaRole::kLeader;
@@ -517,7 +547,10 @@
   void OnPut(const ListenerPut& put, const HttpServer::Respond& respond) {
     const Millis now = MonotonicNow();
     const uint64_t held = this->log->State().Listeners().version;
-    const auto log_order = [put, held](std::string_view outcome) {
+    const auto log_order = [this, put, held, now](std::string_view outcome) {
+      this->metrics.CountDecision("order", outcome);
+      this->metrics.ObserveTime("cornelhill_node_order_seconds",
+                                MonotonicNow() - now);
       LogLine("order")
           .Add("version", put.version)
           .Add("held", held)
@@ -548,7 +581,7 @@
             log_order("accepted");
             respond({200, "{}", {}});
           } else {
-            log_order(response.error().message);
+            log_order("failed");
             this->Refuse(respond, 503, response.error().message);
           }
         });
@@ -576,6 +609,9 @@
   Runtime runtime;
   NodeSocket socket;
   HttpServer operators;
+  std::vector<Endpoint> seeds;
+  SettingsWatch watch;
+  NodeMetrics metrics;
   std::unique_ptr<ControlLog> log;  // Null while joining or without a disk.
   bool empty_disk = false;
   bool reopen = false;
--- a/src/node/entry_role.cc
+++ b/src/node/entry_role.cc
@@ -8,8 +8,10 @@
 #include "cornelhill/node/core_link.h"
 #include "cornelhill/node/datagram_socket.h"
 #include "cornelhill/node/http_server.h"
+#include "cornelhill/node/node_metrics.h"
 #include "cornelhill/node/node_roles.h"
 #include "cornelhill/node/runtime.h"
+#include "cornelhill/node/settings_watch.h"
 #include "cornelhill/segment/segment_balancer.h"
 
 namespace cornelhill {
@@ -48,6 +50,9 @@
         link(runtime, settings,
              {[this] { return this->MakeHello(); },
               [this](const Update& update) { this->OnUpdate(update); }}),
+        watch(runtime, settings,
+              [this](const auto& seeds) { this->link.SetSeeds(seeds); }),
+        metrics(runtime.Io(), "entry"),
         seek_timer(runtime.Io()) {}
 
   Result<void> Run() {
@@ -63,6 +68,11 @@
       this->Carry(std::move(out));
     });
     this->link.Start();
+    this->watch.Start();
+    if (this->settings.metrics.has_value()) {
+      BOOST_OUTCOME_TRY(this->metrics.Listen(*this->settings.metrics));
+    }
+    this->metrics.OnCollect([this] { this->SetGauges(); });
     this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
     this->runtime.Every(kCountersPeriod, [this] { this->LogCounters(); });
     this->runtime.OnDrain([this] {
@@ -134,7 +144,8 @@
     if (this->balancer.Seeking()) this->ArmSeekTimer();
   }
 
-  static void Log(const BalancerEvent& event) {
+  void Log(const BalancerEvent& event) {
+    this->metrics.CountDecision(ToString(event.kind), ToString(event.refusal));
     LogLine line(ToString(event.kind));
     line.Add("caller", ToString(event.flow.caller))
         .Add("listener", ToString(event.flow.listener));
@@ -162,6 +173,24 @@
     this->Carry(std::move(out));
   }
 
+  void SetGauges() {
+    const BalancerCounters& counters = this->balancer.Counters();
+    this->metrics.SetGauge("cornelhill_node_packets",
+                           static_cast<double>(counters.packets));
+    this->metrics.SetGauge("cornelhill_node_offers",
+                           static_cast<double>(counters.offers));
+    this->metrics.SetGauge("cornelhill_node_flows",
+                           static_cast<double>(this->balancer.FlowCount()));
+    this->metrics.SetGauge(
+        "cornelhill_node_agents",
+        static_cast<double>(this->balancer.Agents().Entries().size()));
+    this->metrics.SetGauge(
+        "cornelhill_node_listener_version",
+        static_cast<double>(this->balancer.Listeners().Version()));
+    this->metrics.SetGauge("cornelhill_node_core_connected",
+                           this->link.Connected() ? 1 : 0);
+  }
+
   void LogCounters() const {
     const BalancerCounters& counters = this->balancer.Counters();
     LogLine("entry_counters")
@@ -184,6 +213,8 @@
   DatagramSocket data;
   HttpServer ready;
   CoreLink link;
+  SettingsWatch watch;
+  NodeMetrics metrics;
   boost::asio::steady_timer seek_timer;
   bool seek_armed = false;
   bool draining = false;
--- a/src/node/http_server.cc
+++ b/src/node/http_server.cc
@@ -81,7 +81,9 @@
     this->response = {};
     this->response.version(11);
     this->response.result(response.status);
-    this->response.set(http::field::content_type, "application/json");
+    this->response.set(http::field::content_type, response.content_type.empty()
+                                                      ? "application/json"
+                                                      : response.content_type);
     if (!response.location.empty()) {
       this->response.set(http::field::location, response.location);
     }
--- /dev/null
+++ b/src/node/node_metrics.cc
@@ -0,0 +1,96 @@
+#include "cornelhill/node/node_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <utility>
+
+namespace cornelhill {
+
+namespace {
+
+// Upper bounds in seconds. They cover a round trip within a failure domain and
+// the longest deadline of the sites' requests.
+const prometheus::Histogram::BucketBoundaries& TimeBounds() {
+  static const prometheus::Histogram::BucketBoundaries bounds = {
+      0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
+  return bounds;
+}
+
+}  // namespace
+
+struct NodeMetrics::Impl {
+  Impl(boost::asio::io_context& io, const std::string& role)
+      : role(role),
+        server(io, [this](const HttpRequest& request,
+                          const HttpServer::Respond& respond) {
+          this->OnRequest(request, respond);
+        }) {}
+
+  void OnRequest(const HttpRequest& request,
+                 const HttpServer::Respond& respond) {
+    if (request.target != "/metrics") {
+      respond({404, {}, {}, {}});
+      return;
+    }
+    if (this->collect) this->collect();
+    const prometheus::TextSerializer serializer;
+    respond({200,
+             serializer.Serialize(this->registry.Collect()),
+             {},
+             "text/plain; version=0.0.4"});
+  }
+
+  std::string role;
+  prometheus::Registry registry;
+  std::function<void()> collect;
+  HttpServer server;
+};
+
+NodeMetrics::NodeMetrics(boost::asio::io_context& io, const std::string& role)
+    : impl(std::make_unique<Impl>(io, role)) {}
+
+NodeMetrics::~NodeMetrics() = default;
+
+Result<void> NodeMetrics::Listen(const Endpoint& address) {
+  return this->impl->server.Listen(address);
+}
+
+void NodeMetrics::OnCollect(std::function<void()> action) {
+  this->impl->collect = std::move(action);
+}
+
+void NodeMetrics::CountDecision(std::string_view event,
+                                std::string_view reason) {
+  prometheus::BuildCounter()
+      .Name("cornelhill_node_decisions_total")
+      .Help("Decisions by event and reason")
+      .Register(this->impl->registry)
+      .Add({{"role", this->impl->role},
+            {"event", std::string(event)},
+            {"reason", std::string(reason)}})
+      .Increment();
+}
+
+void NodeMetrics::SetGauge(const std::string& name, double value) {
+  prometheus::BuildGauge()
+      .Name(name)
+      .Help("See docs/metrics.md")
+      .Register(this->impl->registry)
+      .Add({{"role", this->impl->role}})
+      .Set(value);
+}
+
+void NodeMetrics::ObserveTime(const std::string& name, Millis time) {
+  prometheus::BuildHistogram()
+      .Name(name)
+      .Help("See docs/metrics.md")
+      .Register(this->impl->registry)
+      .Add({{"role", this->impl->role}}, TimeBounds())
+      .Observe(static_cast<double>(time.Count()) / 1000.0);
+}
+
+}  // namespace cornelhill
--- a/src/node/sidecar_role.cc
+++ b/src/node/sidecar_role.cc
@@ -7,8 +7,10 @@
 #include "cornelhill/node/core_link.h"
 #include "cornelhill/node/datagram_socket.h"
 #include "cornelhill/node/http_server.h"
+#include "cornelhill/node/node_metrics.h"
 #include "cornelhill/node/node_roles.h"
 #include "cornelhill/node/runtime.h"
+#include "cornelhill/node/settings_watch.h"
 #include "cornelhill/segment/segment_agent.h"
 
 namespace cornelhill {
@@ -49,6 +51,9 @@
         ready(runtime.Io(), this->Handler()),
         link(runtime, settings,
              {[this] { return this->MakeHello(); }, [](const Update&) {}}),
+        watch(runtime, settings,
+              [this](const auto& seeds) { this->link.SetSeeds(seeds); }),
+        metrics(runtime.Io(), "sidecar"),
         trial_timer(runtime.Io()) {}
 
   Result<void> Run() {
@@ -67,6 +72,11 @@
       this->Carry(std::move(out));
     });
     this->link.Start();
+    this->watch.Start();
+    if (this->settings.metrics.has_value()) {
+      BOOST_OUTCOME_TRY(this->metrics.Listen(*this->settings.metrics));
+    }
+    this->metrics.OnCollect([this] { this->SetGauges(); });
     this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
     this->runtime.Every(kCountersPeriod, [this] { this->LogState(); });
     this->runtime.OnDrain([this] {
@@ -176,11 +186,30 @@
     for (const SegmentAgentOutput::ToBalancer& send : out.balancers) {
       this->data.Send(send.to, Encode(send.message));
     }
-    for (const AgentDecision& decision : out.decisions) Log(decision);
+    for (const AgentDecision& decision : out.decisions) this->Log(decision);
+    for (const Millis time : out.first_replies) {
+      this->metrics.ObserveTime("cornelhill_node_first_reply_seconds", time);
+    }
+    for (const Millis time : out.answers) {
+      this->metrics.ObserveTime("cornelhill_node_answer_seconds", time);
+    }
     if (this->agent.Trying()) this->ArmTrialTimer();
   }
 
-  static void Log(const AgentDecision& decision) {
+  void SetGauges() {
+    this->metrics.SetGauge("cornelhill_node_flows",
+                           static_cast<double>(this->agent.OpenFlows()));
+    this->metrics.SetGauge("cornelhill_node_busy", this->agent.BusyFlows());
+    this->metrics.SetGauge(
+        "cornelhill_node_upstream_state",
+        static_cast<double>(this->agent.State(MonotonicNow())));
+    this->metrics.SetGauge("cornelhill_node_core_connected",
+                           this->link.Connected() ? 1 : 0);
+  }
+
+  void Log(const AgentDecision& decision) {
+    this->metrics.CountDecision(ToString(decision.kind),
+                                ToString(decision.refusal));
     if (decision.kind == AgentDecisionKind::kFlowAccepted) return;
     LogLine line(ToString(decision.kind));
     line.Add("caller", ToString(decision.flow.caller))
@@ -227,6 +256,8 @@
   HttpServer reports;
   HttpServer ready;
   CoreLink link;
+  SettingsWatch watch;
+  NodeMetrics metrics;
   boost::asio::steady_timer trial_timer;
   bool trial_armed = false;
 };
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -293,8 +293,14 @@
       found == this->flows.end() ? this->Adopt(now, flow, out) : found->second;
   if (state.declined) return;
   state.seen = now;
-  if (segment.opens && segment.accepts) state.accepted = true;
-  if (segment.data_bytes > 0) this->SetBusy(&state, false);
+  if (segment.opens && segment.accepts && !state.accepted) {
+    state.accepted = true;
+    out->first_replies.push_back(now - state.opened_at);
+  }
+  if (segment.data_bytes > 0 && state.busy) {
+    this->SetBusy(&state, false);
+    out->answers.push_back(now - state.busy_since);
+  }
   if (segment.closes || segment.resets) state.upstream_closed = true;
   out->callers.push_back({flow.caller, std::move(datagram)});
 }
@@ -407,6 +413,7 @@
   if (flow->data_seen && !IsAfter(end, flow->data_end)) return;
   flow->data_seen = true;
   flow->data_end = end;
+  if (!flow->busy) flow->busy_since = now;
   this->SetBusy(flow, true);
 }
 
