Hand the lead over at a planned stop; log redirected and undecided requests

The log did not say either what an operator's request at another member got.

The test fails without the mechanism.

--- a/include/cornelhill/consensus/replica.h
+++ b/include/cornelhill/consensus/replica.h
@@ -161,6 +161,10 @@
   // Takes a message from another member.
   void Step(Millis now, ConsensusMessage message);
 
+  // The leader has said that it stops. A follower of it forgets it, so that an
+  // election starts within `startup_timeout` and the others may vote.
+  void LeaderStops(Millis now, MemberId stopping);
+
   // Appends a command on the leader. Fails with `kUnavailable` where this
   // member is not the leader or too much is uncommitted, and with `kTooLarge`.
   Result<ProposalId> Propose(Millis now, std::string command);
--- a/include/cornelhill/node/control_log.h
+++ b/include/cornelhill/node/control_log.h
@@ -49,6 +49,10 @@
   void Tick(Millis now);
   void Step(Millis now, ConsensusMessage message);
 
+  // The leader has said that it stops: where it is the present one, an
+  // election may start at once.
+  void LeaderStops(Millis now, MemberId leader);
+
   // Proposes a command. `done` is called with the response once a quorum has
   // synced it, or with the error; never both, and exactly once.
   void Propose(Millis now, const Command& command, Done done);
--- a/include/cornelhill/node/http_server.h
+++ b/include/cornelhill/node/http_server.h
@@ -40,7 +40,6 @@
  private:
   void Accept();
 
-  boost::asio::io_context& io;
   boost::asio::ip::tcp::acceptor acceptor;
   std::shared_ptr<Handler> handler;
   std::shared_ptr<size_t> sessions;
--- a/include/cornelhill/segment/segment_messages.h
+++ b/include/cornelhill/segment/segment_messages.h
@@ -131,8 +131,13 @@
   std::string from;
 };
 
-using NodeMessage =
-    std::variant<Hello, Update, CoreJoin, CoreJoinReply, CoreConsensus>;
+// From a leader that stops, to the other core members.
+struct CoreHandOver {
+  uint64_t member = 0;
+};
+
+using NodeMessage = std::variant<Hello, Update, CoreJoin, CoreJoinReply,
+                                 CoreConsensus, CoreHandOver>;
 
 // Encoders never fail. Decoders fail with `kMalformed`, `kTooLarge` or
 // `kUnsupportedVersion`. All are thread-safe.
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -127,6 +127,14 @@
                                  static_cast<uint64_t>(timeout))));
 }
 
+void Replica::LeaderStops(Millis now, MemberId stopping) {
+  if (this->role != ReplicaRole::kFollower || this->leader != stopping) return;
+  this->leader = MemberId();
+  this->heard_leader = false;
+  this->ResetElectionTimer(now);
+  this->ReportRole();
+}
+
 void Replica::ReportRole() {
   this->output.role_changes.push_back(
       {this->role, this->hard_state.term, this->leader});
--- a/src/node/control_log.cc
+++ b/src/node/control_log.cc
@@ -66,6 +66,11 @@
   this->Work(now);
 }
 
+void ControlLog::LeaderStops(Millis now, MemberId leader) {
+  this->replica.LeaderStops(now, leader);
+  this->Work(now);
+}
+
 void ControlLog::Propose(Millis now, const Command& command, Done done) {
   const Result<ProposalId> proposal =
       this->replica.Propose(now, Encode(command));
--- a/src/node/core_role.cc
+++ b/src/node/core_role.cc
@@ -87,6 +87,7 @@
     this->runtime.Every(kReopenPeriod, [this] { this->Reopen(); });
     this->runtime.OnDrain([this] {
       this->draining = true;
+      this->HandOver();
       this->runtime.Every(kDrainPeriod, [this] { this->runtime.Stop(); });
     });
     LogLine("process_started")
@@ -297,6 +298,24 @@
     this->OpenLog();
   }
 
+  // Tells the others that this leader stops, so that they need not wait for an
+  // election timeout.
+  void HandOver() {
+    if (!this->Leads()) return;
+    const ReplicaStatus status = this->log->Status(MonotonicNow());
+    for (const Endpoint& address : this->OtherCores()) {
+      this->socket.Send(address,
+                        Encode(NodeMessage(CoreHandOver{status.self.Value()})));
+    }
+    LogLine("lead_handed_over").Add("term", status.term.Value());
+  }
+
+  void OnHandOver(const CoreHandOver& message) {
+    if (this->log == nullptr) return;
+    this->log->LeaderStops(MonotonicNow(), MemberId(message.member));
+    this->AfterLog();
+  }
+
   void TendMembership() {
     if (this->log == nullptr) return;
     const Millis now = MonotonicNow();
@@ -333,6 +352,9 @@
     } else if (const auto* packet =
                    std::get_if<CoreConsensus>(&message.value())) {
       this->OnConsensus(*packet);
+    } else if (const auto* hand_over =
+                   std::get_if<CoreHandOver>(&message.value())) {
+      this->OnHandOver(*hand_over);
     }
   }
 
@@ -537,10 +559,19 @@
       if (address.has_value() && status.leader != status.self) {
         const Endpoint to{address.value().endpoint.address,
                           this->settings.operators->port};
-        respond({307, {}, "http://" + ToString(to) + request.target});
+        LogLine("request_redirected")
+            .Add("method", request.method)
+            .Add("leader", ToString(to))
+            .Add("term", status.term.Value());
+        respond({307, {}, "http://" + ToString(to) + request.target, {}});
         return;
       }
     }
+    LogLine("request_not_decided")
+        .Warn()
+        .Add("method", request.method)
+        .Add("log_open", this->log == nullptr ? 0 : 1)
+        .Add("held", this->table.Version());
     this->Refuse(respond, 503, "no leader is known");
   }
 
--- a/src/node/entry_role.cc
+++ b/src/node/entry_role.cc
@@ -65,7 +65,7 @@
     this->packets.Start([this](Endpoint, std::string_view bytes) {
       BalancerOutput out;
       this->balancer.OnPacket(MonotonicNow(), bytes, &out);
-      this->Carry(std::move(out));
+      this->Carry(out);
     });
     this->link.Start();
     this->watch.Start();
@@ -128,10 +128,10 @@
     BalancerOutput out;
     this->balancer.OnAgent(MonotonicNow(), from, std::move(message.value()),
                            &out);
-    this->Carry(std::move(out));
+    this->Carry(out);
   }
 
-  void Carry(BalancerOutput out) {
+  void Carry(const BalancerOutput& out) {
     for (const BalancerOutput::ToAgent& send : out.agents) {
       this->data.Send(send.to, Encode(send.message));
     }
@@ -170,7 +170,7 @@
   void Tick() {
     BalancerOutput out;
     this->balancer.Tick(MonotonicNow(), &out);
-    this->Carry(std::move(out));
+    this->Carry(out);
   }
 
   void SetGauges() {
--- a/src/node/http_server.cc
+++ b/src/node/http_server.cc
@@ -67,8 +67,10 @@
     }
     const http::request<http::string_body>& request = this->parser->get();
     this->keep_alive = request.keep_alive();
-    HttpRequest out{std::string(request.method_string()),
-                    std::string(request.target()), request.body()};
+    HttpRequest out;
+    out.method = request.method_string().to_string();
+    out.target = request.target().to_string();
+    out.body = request.body();
     // The decision may take longer than an idle connection may last.
     this->stream.expires_never();
     (*this->handler)(std::move(out),
@@ -117,8 +119,7 @@
 }  // namespace
 
 HttpServer::HttpServer(boost::asio::io_context& io, Handler handler)
-    : io(io),
-      acceptor(io),
+    : acceptor(io),
       handler(std::make_shared<Handler>(std::move(handler))),
       sessions(std::make_shared<size_t>(0)) {}
 
--- a/src/node/sidecar_role.cc
+++ b/src/node/sidecar_role.cc
@@ -69,7 +69,7 @@
     this->outbound.Start([this](Endpoint, std::string_view bytes) {
       SegmentAgentOutput out;
       this->agent.OnUpstream(MonotonicNow(), std::string(bytes), &out);
-      this->Carry(std::move(out));
+      this->Carry(out);
     });
     this->link.Start();
     this->watch.Start();
@@ -172,10 +172,10 @@
     SegmentAgentOutput out;
     this->agent.OnBalancer(MonotonicNow(), from, std::move(message.value()),
                            &out);
-    this->Carry(std::move(out));
+    this->Carry(out);
   }
 
-  void Carry(SegmentAgentOutput out) {
+  void Carry(const SegmentAgentOutput& out) {
     for (const std::string& datagram : out.upstream) {
       this->outbound.Send(*this->settings.upstream, datagram);
     }
@@ -237,7 +237,7 @@
   void Tick() {
     SegmentAgentOutput out;
     this->agent.Tick(MonotonicNow(), &out);
-    this->Carry(std::move(out));
+    this->Carry(out);
   }
 
   void LogState() const {
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -457,9 +457,10 @@
     const Millis idle = now - state.seen;
     const bool ended =
         state.declined || (state.caller_closed && state.upstream_closed);
-    if (!state.opened && now - state.opened_at > kOpeningLifetime) {
-      gone.push_back(flow);
-    } else if (idle > (ended ? kClosedLinger : this->settings.flow_lifetime)) {
+    const bool unopened =
+        !state.opened && now - state.opened_at > kOpeningLifetime;
+    if (unopened ||
+        idle > (ended ? kClosedLinger : this->settings.flow_lifetime)) {
       gone.push_back(flow);
     } else if (state.busy && idle > kBusyLifetime) {
       this->SetBusy(&state, false);
--- a/src/segment/segment_messages.cc
+++ b/src/segment/segment_messages.cc
@@ -163,6 +163,9 @@
     this->out->mutable_consensus()->set_message(in.message);
     this->out->mutable_consensus()->set_from(in.from);
   }
+  void operator()(const CoreHandOver& in) const {
+    this->out->mutable_hand_over()->set_member(in.member);
+  }
 };
 
 Result<NodeMessage> ReadHello(const pb::Hello& in) {
@@ -281,6 +284,8 @@
     case pb::NodeMessage::kConsensus:
       return NodeMessage(
           CoreConsensus{in.consensus().message(), in.consensus().from()});
+    case pb::NodeMessage::kHandOver:
+      return NodeMessage(CoreHandOver{in.hand_over().member()});
     case pb::NodeMessage::BODY_NOT_SET:
       break;
   }
--- a/tests/consensus/replica_test.cc
+++ b/tests/consensus/replica_test.cc
@@ -281,5 +281,36 @@
   cr_assert(cluster.Leader() != nullptr);
 }
 
+// Guards against an order that waits for an election timeout after a planned
+// stop of the leader (fmn-aula incident inc-1c5a: 1.0 s).
+Test(replica, a_follower_of_a_stopping_leader_votes_and_campaigns_at_once) {
+  const Membership membership{{{MemberId(1), true, 1, ""},
+                               {MemberId(2), true, 1, ""},
+                               {MemberId(3), true, 1, ""}},
+                              MemberId(3)};
+  StoredState state;
+  state.self = MemberId(1);
+  state.hard_state.term = Term(1);
+  state.entries = {{1, Term(1), EntryKind::kMembership, Encode(membership)}};
+  ReplicaSettings settings;
+  settings.startup_timeout = Millis(60);
+  Replica replica =
+      std::move(Replica::Start(settings, state, kSeed, Millis(0)).value());
+  replica.Step(Millis(5), {MemberId(2), MemberId(1), Term(1), Append{}});
+  Persist(&replica, Millis(5));
+  replica.LeaderStops(Millis(10), MemberId(3));
+  cr_assert_eq(replica.Status(Millis(10)).leader.Value(), 2U,
+               "member 3 does not lead");
+  replica.LeaderStops(Millis(10), MemberId(2));
+  cr_assert_eq(replica.Status(Millis(10)).leader.Value(), 0U);
+  replica.Step(Millis(11), {MemberId(3), MemberId(1), Term(2),
+                            VoteRequest{true, 1, Term(1), 0}});
+  const ReplicaOutput output = Persist(&replica, Millis(11));
+  cr_assert_eq(output.messages.size(), 1U);
+  cr_assert(std::get<VoteReply>(output.messages[0].body).granted);
+  replica.Tick(Millis(200));
+  cr_assert(replica.Status(Millis(200)).role == ReplicaRole::kPreCandidate);
+}
+
 }  // namespace
 }  // namespace cornelhill
--- a/tests/control/core_membership_test.cc
+++ b/tests/control/core_membership_test.cc
@@ -9,7 +9,7 @@
   return ToString(CoreAddress{{host, 7720}, "a", token});
 }
 
-ReplicaStatus Leading(std::vector<Member> members) {
+ReplicaStatus Leading(const std::vector<Member>& members) {
   ReplicaStatus status;
   status.self = MemberId(1);
   status.role = ReplicaRole::kLeader;
--- a/tests/platform/api_format_test.cc
+++ b/tests/platform/api_format_test.cc
@@ -15,7 +15,7 @@
       ->read({method, target, body});
 }
 
-const std::string kReport =
+constexpr const char* kReport =
     R"({"service":"s","address":"10.128.0.9:8080","zone":"a","version":"v1",)"
     R"("slots":4,"state":"ready","cold_remaining_ms":0,"seq":4,"born":99})";
 
@@ -53,7 +53,7 @@
   }
   Random random(20261204);
   for (int i = 0; i < 5000; ++i) {
-    std::string bytes = kReport;
+    std::string bytes(kReport);
     bytes[random.Below(bytes.size())] = static_cast<char>(random.Below(256));
     (void)Read("PUT", "/-/instances/i-7", bytes);
   }
