Rank the agents of a flow: placement among eight, seeks among twelve

A flow's addresses select eight agents of its service, the best of which gets the offer, so that a seek asks twelve first and all others only when it is repeated, or where there are 20 agents or fewer.

--- a/include/cornelhill/segment/segment_balancer.h
+++ b/include/cornelhill/segment/segment_balancer.h
@@ -128,7 +128,8 @@
     bool failed = false;   // Nobody answered; kept so that it is not repeated.
     Millis pause;          // Until the next seek after a failed one.
     std::optional<Endpoint> except;
-    std::set<Endpoint> unanswered;  // Agents that have not said no.
+    std::set<Endpoint> asked;       // Agents.
+    std::set<Endpoint> unanswered;  // Those that have not said no.
     // Other balancers that have not said no; agents are asked after them.
     std::set<Endpoint> unanswered_balancers;
     bool asks_agents = false;
@@ -153,9 +154,19 @@
     Endpoint agent;
     uint32_t load_limit_milli = 0;
   };
-  std::optional<Choice> ChooseAgent(Millis now, const Listener& listener,
+  // The agents of a service that a flow's addresses rank first: a pure function
+  // of the flow and the directory.
+  std::vector<const AgentDirectory::Entry*> Candidates(ServiceKey service,
+                                                       const SegmentFlow& flow,
+                                                       size_t count) const;
+  std::optional<Choice> ChooseAgent(Millis now, const SegmentFlow& flow,
+                                    const Listener& listener,
                                     ServiceKey service,
                                     std::optional<Endpoint> except);
+  std::optional<Choice> BestOf(
+      Millis now, const Listener& listener,
+      const std::vector<const AgentDirectory::Entry*>& candidates,
+      std::optional<Endpoint> except);
   // Expected busy requests per slot beside those that the agent states.
   double Surcharge(Millis now, const Listener& listener,
                    const AgentDirectory::Entry& entry);
@@ -175,6 +186,8 @@
                BalancerOutput* out);
   void DeliverHeld(const Endpoint& owner, size_t first, Seek* seek,
                    BalancerOutput* out);
+  // Whether the seek may ask agents beyond the candidates.
+  bool IsThorough(const Seek& seek) const;
   void SendSeek(const SegmentFlow& flow, Seek* seek, bool wide,
                 BalancerOutput* out);
   void Reset(const SegmentFlow& flow, BalancerEvent event, BalancerOutput* out);
--- a/src/segment/segment_balancer.cc
+++ b/src/segment/segment_balancer.cc
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <iterator>
 #include <limits>
 #include <utility>
 
+#include "cornelhill/base/hash.h"
+
 namespace cornelhill {
 
 namespace {
@@ -14,11 +17,20 @@
 constexpr uint32_t kMaxOffers = 5;
 // Packets of one flow that wait while its owner is sought: a sender's window.
 constexpr size_t kMaxHeldPackets = 16;
+// A flow is offered to the best of this many agents of its service, which its
+// addresses select, so that a seek need not ask the others: the best of eight
+// is close to the best of all.
+constexpr size_t kOfferCandidates = 8;
+// The same for a seek: agents that joined since have moved the others down.
+constexpr size_t kSoughtCandidates = 12;
+// With up to this many agents the first seek asks all of them; otherwise a
+// repeated one does.
+constexpr size_t kFewAgents = 20;
 // One round trip within a failure domain, on instances with 0.04 of a core.
-constexpr Millis kAskBalancers{15};
-// Agents that serve the flow's listener now are asked first. Two round trips
-// between failure domains of 5 ms pass before all others are asked.
-constexpr Millis kSeekWiden{40};
+constexpr Millis kAskBalancers{30};
+// The candidates are asked first. Two round trips between failure domains of
+// 5 ms, and the question to the balancers, pass before all others are asked.
+constexpr Millis kSeekWiden{60};
 // A recovering agent answers 25 ms after the packet reached its upstream.
 constexpr Millis kSeekTimeout{120};
 // A flow whose upstream is gone is retransmitted up to eight times; each seek
@@ -142,8 +154,9 @@
   }
   const ServiceKey service = ListenerTable::PickService(*listener, flow);
   const std::optional<Choice> choice =
-      tries < kMaxOffers ? this->ChooseAgent(now, *listener, service, except)
-                         : std::nullopt;
+      tries < kMaxOffers
+          ? this->ChooseAgent(now, flow, *listener, service, except)
+          : std::nullopt;
   if (!choice.has_value()) {
     BalancerEvent event{BalancerEventKind::kNoAgent, flow};
     event.tries = tries;
@@ -161,23 +174,37 @@
 }
 
 std::optional<SegmentBalancer::Choice> SegmentBalancer::ChooseAgent(
-    Millis now, const Listener& listener, ServiceKey service,
+    Millis now, const SegmentFlow& flow, const Listener& listener,
+    ServiceKey service, std::optional<Endpoint> except) {
+  for (const size_t count : {kOfferCandidates, this->agents.Entries().size()}) {
+    const std::optional<Choice> choice = this->BestOf(
+        now, listener, this->Candidates(service, flow, count), except);
+    if (choice.has_value()) return choice;
+  }
+  return std::nullopt;
+}
+
+std::optional<SegmentBalancer::Choice> SegmentBalancer::BestOf(
+    Millis now, const Listener& listener,
+    const std::vector<const AgentDirectory::Entry*>& candidates,
     std::optional<Endpoint> except) {
   constexpr double kNone = std::numeric_limits<double>::max();
   std::optional<Choice> choice;
   double best = kNone;
   double best_surcharge = 0;
   double second = kNone;
-  for (const auto& [address, entry] : this->agents.Entries()) {
-    if (entry.record.service != service || address == except) continue;
-    if (entry.record.state != UpstreamState::kReady) continue;
-    const double surcharge = this->Surcharge(now, listener, entry);
-    const double score = entry.record.load_milli / 1000.0 + surcharge;
+  for (const AgentDirectory::Entry* entry : candidates) {
+    const AgentRecord& record = entry->record;
+    if (record.address == except || record.state != UpstreamState::kReady) {
+      continue;
+    }
+    const double surcharge = this->Surcharge(now, listener, *entry);
+    const double score = record.load_milli / 1000.0 + surcharge;
     if (score < best) {
       second = best;
       best = score;
       best_surcharge = surcharge;
-      choice = Choice{address};
+      choice = Choice{record.address};
     } else if (score < second) {
       second = score;
     }
@@ -270,6 +297,7 @@
   seek.started = now;
   seek.except = except;
   seek.unanswered.clear();
+  seek.asked.clear();
   ++this->seeking;
   ++this->counters.seeks;
   out->events.push_back({BalancerEventKind::kSeekStarted, flow});
@@ -335,27 +363,57 @@
 void SegmentBalancer::SendSeek(const SegmentFlow& flow, Seek* seek, bool wide,
                                BalancerOutput* out) {
   const Listener* listener = this->listeners.Find(flow.listener);
-  const auto serves = [listener](const AgentRecord& record) {
-    return listener != nullptr &&
-           std::any_of(listener->shares.begin(), listener->shares.end(),
-                       [&record](const ListenerShare& share) {
-                         return share.service == record.service;
-                       });
-  };
   seek->asks_agents = true;
   seek->widened = seek->widened || wide || listener == nullptr;
-  for (const auto& [address, entry] : this->agents.Entries()) {
-    if (address == seek->except) continue;
-    if (entry.record.state == UpstreamState::kGone) continue;
-    if (listener != nullptr && serves(entry.record) == wide) continue;
+  const auto ask = [seek, out](const AgentDirectory::Entry& entry) {
+    const Endpoint& address = entry.record.address;
+    if (address == seek->except) return;
+    if (entry.record.state == UpstreamState::kGone) return;
+    if (!seek->asked.insert(address).second) return;
     SegmentMessage message;
     message.kind = SegmentMessageKind::kSeek;
     message.datagram = seek->held.front();
     seek->unanswered.insert(address);
     out->agents.push_back({address, std::move(message)});
+  };
+  if (seek->widened) {
+    for (const auto& [address, entry] : this->agents.Entries()) ask(entry);
+    return;
+  }
+  for (const ListenerShare& share : listener->shares) {
+    for (const AgentDirectory::Entry* entry :
+         this->Candidates(share.service, flow, kSoughtCandidates)) {
+      ask(*entry);
+    }
   }
 }
 
+std::vector<const AgentDirectory::Entry*> SegmentBalancer::Candidates(
+    ServiceKey service, const SegmentFlow& flow, size_t count) const {
+  const uint64_t flow_hash = std::hash<SegmentFlow>()(flow);
+  std::vector<std::pair<uint64_t, const AgentDirectory::Entry*>> ranked;
+  for (const auto& [address, entry] : this->agents.Entries()) {
+    if (entry.record.service != service) continue;
+    if (entry.record.state == UpstreamState::kGone) continue;
+    const uint64_t agent_hash = HashCombine(address.address, address.port);
+    ranked.emplace_back(HashCombine(flow_hash, agent_hash), &entry);
+  }
+  if (ranked.size() > count) {
+    std::nth_element(ranked.begin(),
+                     ranked.begin() + static_cast<ptrdiff_t>(count),
+                     ranked.end());
+    ranked.resize(count);
+  }
+  std::vector<const AgentDirectory::Entry*> out;
+  out.reserve(ranked.size());
+  for (const auto& [rank, entry] : ranked) out.push_back(entry);
+  return out;
+}
+
+bool SegmentBalancer::IsThorough(const Seek& seek) const {
+  return seek.pause > kSeekPause || this->agents.Entries().size() <= kFewAgents;
+}
+
 void SegmentBalancer::OnAgent(Millis now, const Endpoint& from,
                               SegmentMessage message, BalancerOutput* out) {
   this->LearnLoad(now, from, message);
@@ -464,8 +522,11 @@
   Seek& seek = found->second;
   seek.unanswered.erase(from);
   if (!seek.unanswered.empty()) return;
-  if (!seek.widened) this->SendSeek(message.flow, &seek, true, out);
-  if (!seek.unanswered.empty() || now > this->agents_complete_until) return;
+  if (!seek.widened && this->IsThorough(seek)) {
+    this->SendSeek(message.flow, &seek, true, out);
+  }
+  if (!seek.unanswered.empty() || !seek.widened) return;
+  if (now > this->agents_complete_until) return;
   const Result<Segment> first = this->settings.format.read(seek.held.front());
   out->callers.push_back(
       {message.flow.caller,
@@ -512,7 +573,8 @@
         !seek->second.failed) {
       this->SendSeek(seek->first, &seek->second, false, out);
     }
-    if (waited > kSeekWiden && !seek->second.widened && !seek->second.failed) {
+    if (waited > kSeekWiden && !seek->second.widened && !seek->second.failed &&
+        this->IsThorough(seek->second)) {
       this->SendSeek(seek->first, &seek->second, true, out);
     }
     ++seek;
--- a/tests/segment/segment_path_test.cc
+++ b/tests/segment/segment_path_test.cc
@@ -250,5 +250,33 @@
   cr_assert_eq(world.Resets(), 0U);
 }
 
+// Guards against fmn-aula-grown scale-1, where seeks among 56 agents took all
+// the processor time of small balancers.
+Test(segment_path, a_seek_among_many_agents_asks_the_candidates_of_the_flow) {
+  SegmentWorld world = MakeWorld(40, 1);
+  for (uint16_t port = 1; port <= 20; ++port) {
+    world.Send(0, FirstPacket(CallerAt(port)));
+  }
+  world.AddBalancer(1);
+  world.Spread();
+  for (uint16_t port = 1; port <= 20; ++port) {
+    const int holder = world.HolderOf(CallerAt(port));
+    const size_t before = world.upstreams[AgentAt(holder)].data_packets;
+    world.agent_messages = 0;
+    world.Send(1, DataPacket(CallerAt(port)));
+    cr_assert_eq(world.upstreams[AgentAt(holder)].data_packets, before + 1);
+    cr_assert_leq(world.agent_messages, 12U);
+  }
+  // An agent outside the candidates is found by the repeated seek.
+  world.upstreams[AgentAt(7)].flows.insert({CallerAt(99), kListener});
+  world.StartAgent(7);
+  world.Report(7);
+  for (int i = 0; i < 4; ++i) {
+    world.Send(1, DataPacket(CallerAt(99)));
+    world.Advance(300);
+  }
+  cr_assert_geq(world.upstreams[AgentAt(7)].data_packets, 1U);
+}
+
 }  // namespace
 }  // namespace cornelhill
