Split the balancer's seeks and the core role

The search for a flow's owner, what a core member tells daemons, and what it answers operators are files of their own now.

--- /dev/null
+++ b/include/cornelhill/node/core_daemons.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cornelhill/base/millis.h"
+#include "cornelhill/node/node_socket.h"
+#include "cornelhill/segment/agent_directory.h"
+#include "cornelhill/segment/listener_table.h"
+#include "cornelhill/segment/segment_messages.h"
+
+namespace cornelhill {
+
+// The balancers and agents that a core member has heard of, and what it tells
+// them: listeners in effect, agents and members. Soft state. Not thread-safe.
+class CoreDaemons {
+ public:
+  struct Handlers {
+    std::function<void(const NodeSocket::Peer&, const Update&)> send;
+    // Returns the addresses of the core members.
+    std::function<std::vector<std::string>()> members;
+  };
+
+  CoreDaemons(Millis now, Handlers handlers);
+
+  void OnHello(Millis now, const NodeSocket::Peer& peer, const Hello& hello);
+
+  // Takes a committed version and pushes it to every balancer. An equal or
+  // lower one changes nothing.
+  void Publish(Millis now, const ListenerSet& set);
+
+  // Forgets what has not been heard lately. Call about once a second.
+  void Expire(Millis now);
+
+  const ListenerTable& Listeners() const { return this->listeners; }
+  const AgentDirectory& Agents() const { return this->agents; }
+
+ private:
+  struct Daemon {
+    NodeSocket::Peer peer;
+    bool balancer = false;
+    uint64_t listener_version = 0;
+    Millis heard;
+    Endpoint address;  // Of its data socket.
+    std::string failure_domain;
+  };
+
+  std::vector<Endpoint> BalancersNear(const Daemon& near) const;
+  void PushAgent(Millis now, const AgentRecord& record);
+  void SendUpdate(Millis now, std::vector<AgentRecord> records,
+                  bool whole_directory, Daemon* daemon);
+
+  Handlers handlers;
+  Millis started;
+  ListenerTable listeners;
+  AgentDirectory agents;
+  std::map<std::string, Daemon> daemons;  // By routing id.
+};
+
+}  // namespace cornelhill
--- a/include/cornelhill/segment/segment_balancer.h
+++ b/include/cornelhill/segment/segment_balancer.h
@@ -195,6 +195,7 @@
                  BalancerOutput* out);
   void OnNotHeld(Millis now, const Endpoint& from, SegmentMessage message,
                  BalancerOutput* out);
+  void TickSeeks(Millis now, BalancerOutput* out);
   void OnSoughtInVain(Millis now, const Endpoint& from,
                       const SegmentMessage& message, BalancerOutput* out);
   void OnHeld(Millis now, const Endpoint& from, const SegmentMessage& message,
--- /dev/null
+++ b/src/node/core_daemons.cc
@@ -0,0 +1,89 @@
+#include "cornelhill/node/core_daemons.h"
+
+#include <utility>
+
+#include "cornelhill/base/log.h"
+
+namespace cornelhill {
+
+namespace {
+
+// A daemon that has said nothing for this long is gone.
+constexpr Millis kDaemonExpiry{4000};
+// Agents reconnect within 0.45 s and speak once a second.
+constexpr Millis kDirectorySettles{1500};
+
+}  // namespace
+
+CoreDaemons::CoreDaemons(Millis now, Handlers handlers)
+    : handlers(std::move(handlers)), started(now) {}
+
+void CoreDaemons::OnHello(Millis now, const NodeSocket::Peer& peer,
+                          const Hello& hello) {
+  Daemon& daemon = this->daemons[peer.routing_id];
+  daemon = {peer, hello.balancer, hello.listener_version,
+            now,  hello.address,  hello.failure_domain};
+  if (!hello.agent.empty()) {
+    const bool changed = this->agents.Merge(now, hello.agent.front());
+    if (changed) this->PushAgent(now, hello.agent.front());
+  }
+  this->SendUpdate(
+      now,
+      hello.directory ? this->agents.Records(now) : std::vector<AgentRecord>{},
+      hello.directory, &daemon);
+}
+
+void CoreDaemons::Publish(Millis now, const ListenerSet& set) {
+  if (!this->listeners.Apply(set)) return;
+  LogLine("listeners_committed")
+      .Add("version", this->listeners.Version())
+      .Add("listeners", this->listeners.Size());
+  for (auto& [id, daemon] : this->daemons) {
+    if (daemon.balancer) this->SendUpdate(now, {}, false, &daemon);
+  }
+}
+
+void CoreDaemons::Expire(Millis now) {
+  this->agents.Expire(now);
+  std::erase_if(this->daemons, [now](const auto& item) {
+    return now - item.second.heard > kDaemonExpiry;
+  });
+}
+
+std::vector<Endpoint> CoreDaemons::BalancersNear(const Daemon& near) const {
+  std::vector<Endpoint> out;
+  for (const auto& [id, daemon] : this->daemons) {
+    if (daemon.balancer && daemon.failure_domain == near.failure_domain) {
+      out.push_back(daemon.address);
+    }
+  }
+  return out;
+}
+
+void CoreDaemons::PushAgent(Millis now, const AgentRecord& record) {
+  LogLine("agent_changed")
+      .Add("agent", ToString(record.address))
+      .Add("failure_domain", record.failure_domain)
+      .Add("state", ToString(record.state));
+  for (auto& [id, daemon] : this->daemons) {
+    if (daemon.balancer) this->SendUpdate(now, {record}, false, &daemon);
+  }
+}
+
+void CoreDaemons::SendUpdate(Millis now, std::vector<AgentRecord> records,
+                             bool whole_directory, Daemon* daemon) {
+  Update update;
+  update.agents = std::move(records);
+  update.members = this->handlers.members();
+  update.complete = whole_directory && now - this->started > kDirectorySettles;
+  if (whole_directory) update.balancers = this->BalancersNear(*daemon);
+  if (daemon->balancer &&
+      daemon->listener_version < this->listeners.Version()) {
+    update.listeners = this->listeners.DeltaSince(daemon->listener_version);
+    // Stated again by the next hello where this message is lost.
+    daemon->listener_version = this->listeners.Version();
+  }
+  this->handlers.send(daemon->peer, update);
+}
+
+}  // namespace cornelhill
--- /dev/null
+++ b/src/node/core_operators.cc
@@ -0,0 +1,155 @@
+#include "cornelhill/node/core_operators.h"
+
+#include <utility>
+
+#include "cornelhill/base/hash.h"
+#include "cornelhill/base/log.h"
+#include "cornelhill/control/core_membership.h"
+
+namespace cornelhill {
+
+CoreOperators::CoreOperators(const NodeSettings& settings,
+                             const PlatformFormats& formats,
+                             NodeMetrics& metrics, Core core, uint64_t seed)
+    : settings(settings),
+      formats(formats),
+      metrics(metrics),
+      core(std::move(core)),
+      random(seed) {}
+
+void CoreOperators::Refuse(const HttpServer::Respond& respond, uint32_t status,
+                           const std::string& detail) const {
+  respond({status, this->formats.api.error(detail), {}});
+}
+
+void CoreOperators::OnRequest(const HttpRequest& request,
+                              const HttpServer::Respond& respond) {
+  const ApiRequest call = this->formats.api.read(request);
+  if (const auto* refusal = std::get_if<ApiRefusal>(&call)) {
+    LogLine("request_refused")
+        .Warn()
+        .Add("target", request.target.substr(0, 100))
+        .Add("status", refusal->status)
+        .Add("detail", refusal->message);
+    this->Refuse(respond, refusal->status, refusal->message);
+    return;
+  }
+  const auto* put = std::get_if<ListenerPut>(&call);
+  if (put == nullptr && !std::holds_alternative<ListenerGet>(call)) {
+    this->Refuse(respond, 404, "not served here");
+    return;
+  }
+  if (this->draining) {
+    this->Refuse(respond, 503, "this instance stops");
+  } else if (!this->core.leads()) {
+    this->Redirect(request, respond);
+  } else if (put != nullptr) {
+    this->OnPut(*put, respond);
+  } else {
+    this->OnGet(respond);
+  }
+}
+
+void CoreOperators::RedirectTo(const Endpoint& member,
+                               const HttpRequest& request,
+                               const HttpServer::Respond& respond) {
+  const Endpoint to{member.address, this->settings.operators->port};
+  LogLine("request_redirected")
+      .Add("method", request.method)
+      .Add("member", ToString(to));
+  respond({307, {}, "http://" + ToString(to) + request.target, {}});
+}
+
+void CoreOperators::Redirect(const HttpRequest& request,
+                             const HttpServer::Respond& respond) {
+  const ControlLog* log = this->core.log();
+  if (log != nullptr) {
+    const ReplicaStatus status = log->Status(MonotonicNow());
+    const Member* leader = FindMember(status.membership, status.leader);
+    const Result<CoreAddress> address =
+        ParseCoreAddress(leader == nullptr ? std::string() : leader->address);
+    if (address.has_value() && status.leader != status.self) {
+      this->RedirectTo(address.value().endpoint, request, respond);
+      return;
+    }
+  }
+  const std::vector<std::string> members = this->core.members();
+  if (log == nullptr && !members.empty()) {
+    const Result<CoreAddress> member =
+        ParseCoreAddress(members[this->random.Below(members.size())]);
+    if (member.has_value() &&
+        member.value().endpoint != this->settings.CoreAddress()) {
+      this->RedirectTo(member.value().endpoint, request, respond);
+      return;
+    }
+  }
+  LogLine("request_not_decided")
+      .Warn()
+      .Add("method", request.method)
+      .Add("log_open", log == nullptr ? 0 : 1);
+  this->Refuse(respond, 503, "no leader is known");
+}
+
+void CoreOperators::OnPut(const ListenerPut& put,
+                          const HttpServer::Respond& respond) {
+  ControlLog* log = this->core.log();
+  const Millis now = MonotonicNow();
+  const uint64_t held = log->State().Listeners().version;
+  const auto log_order = [this, put, held, now](std::string_view outcome) {
+    this->metrics.CountDecision("order", outcome);
+    this->metrics.ObserveTime("cornelhill_node_order_seconds",
+                              MonotonicNow() - now);
+    LogLine("order")
+        .Add("version", put.version)
+        .Add("held", held)
+        .Add("outcome", outcome);
+  };
+  if (put.version <= held) {
+    log->Confirm(
+        now, [this, respond, log_order](std::optional<Millis> started) {
+          log_order(started.has_value() ? "superseded" : "unconfirmed");
+          if (started.has_value()) {
+            respond({200, "{}", {}});
+          } else {
+            this->Refuse(respond, 503, "this instance cannot confirm");
+          }
+        });
+    this->core.after_log();
+    return;
+  }
+  Command command;
+  command.request_id = "listeners-" + std::to_string(put.version) + "-" +
+                       std::to_string(Hash64(put.document));
+  command.operator_name = "operator";
+  command.body = PutListeners{put.version, put.document};
+  log->Propose(
+      now, command,
+      [this, respond, log_order](const Result<CommandResponse>& response) {
+        if (response.has_value()) {
+          log_order("accepted");
+          respond({200, "{}", {}});
+        } else {
+          log_order("failed");
+          this->Refuse(respond, 503, response.error().message);
+        }
+      });
+  this->core.after_log();
+}
+
+void CoreOperators::OnGet(const HttpServer::Respond& respond) {
+  ControlLog* log = this->core.log();
+  log->Confirm(
+      MonotonicNow(), [this, respond, log](std::optional<Millis> started) {
+        const PutListeners& held = log->State().Listeners();
+        if (!started.has_value() || held.version == 0) {
+          this->Refuse(respond, 503,
+                       started.has_value() ? "no configuration yet"
+                                           : "this instance cannot confirm");
+          return;
+        }
+        respond({200, held.document, {}});
+      });
+  this->core.after_log();
+}
+
+}  // namespace cornelhill
--- a/src/node/core_role.cc
+++ b/src/node/core_role.cc
@@ -7,19 +7,19 @@
 #include <utility>
 #include <vector>
 
-#include "cornelhill/base/hash.h"
 #include "cornelhill/base/log.h"
 #include "cornelhill/base/random.h"
 #include "cornelhill/consensus/consensus_codec.h"
 #include "cornelhill/control/core_membership.h"
 #include "cornelhill/node/control_log.h"
+#include "cornelhill/node/core_daemons.h"
+#include "cornelhill/node/core_operators.h"
 #include "cornelhill/node/http_server.h"
 #include "cornelhill/node/node_metrics.h"
 #include "cornelhill/node/node_roles.h"
 #include "cornelhill/node/node_socket.h"
 #include "cornelhill/node/runtime.h"
 #include "cornelhill/node/settings_watch.h"
-#include "cornelhill/segment/agent_directory.h"
 #include "cornelhill/segment/listener_table.h"
 
 namespace cornelhill {
@@ -35,16 +35,12 @@
 constexpr Millis kElectionTimeout{500};
 constexpr Millis kStartupElectionTimeout{60};
 constexpr Millis kHeartbeat{100};
-// Agents reconnect within 0.45 s and speak once a second.
-constexpr Millis kDirectorySettles{1500};
 // Requests that are being answered end in this time.
 constexpr Millis kDrainPeriod{300};
 // How long a member waits for a leader before it asks whether it was removed.
 constexpr Millis kLeaderless{4000};
 // A log whose disk failed is opened again after this time.
 constexpr Millis kReopenPeriod{500};
-// A daemon that has said nothing for this long is gone.
-constexpr Millis kDaemonExpiry{4000};
 
 class CoreRole {
  public:
@@ -52,31 +48,40 @@
       : settings(settings),
         formats(formats),
         seed(RandomSeed()),
-        random(seed),
         socket(runtime.Io(),
                settings.instance + "/core/" + std::to_string(this->seed),
                [this](const NodeSocket::Peer& peer, const std::string& bytes) {
                  this->OnMessage(peer, bytes);
                }),
-        operators(runtime.Io(),
-                  [this](const HttpRequest& request,
-                         const HttpServer::Respond& respond) {
-                    this->OnRequest(request, respond);
-                  }),
+        http(runtime.Io(),
+             [this](const HttpRequest& request,
+                    const HttpServer::Respond& respond) {
+               this->operators.OnRequest(request, respond);
+             }),
         seeds(settings.seeds),
         watch(runtime, settings,
               [this](const auto& changed) { this->seeds = changed; }),
-        metrics(runtime.Io(), "core") {}
+        metrics(runtime.Io(), "core"),
+        daemons(MonotonicNow(),
+                {[this](const NodeSocket::Peer& peer, const Update& update) {
+                   this->socket.Reply(peer, Encode(NodeMessage(update)));
+                 },
+                 [this] { return this->MemberTexts(); }}),
+        operators(
+            settings, formats, metrics,
+            {[this] { return this->log.get(); },
+             [this] { return this->Leads(); }, [this] { this->AfterLog(); },
+             [this] { return this->MemberTexts(); }},
+            this->seed) {}
 
   Result<void> Run() {
     BOOST_OUTCOME_TRY(this->socket.Bind(this->settings.CoreAddress()));
-    BOOST_OUTCOME_TRY(this->operators.Listen(*this->settings.operators));
+    BOOST_OUTCOME_TRY(this->http.Listen(*this->settings.operators));
     this->OpenLog();
     if (this->log == nullptr && this->MayBootstrap()) this->Bootstrap();
     for (const Endpoint& address : this->OtherCores()) {
       this->socket.Connect(address);
     }
-    this->started = MonotonicNow();
     this->watch.Start();
     if (this->settings.metrics.has_value()) {
       BOOST_OUTCOME_TRY(this->metrics.Listen(*this->settings.metrics));
@@ -90,7 +95,7 @@
     });
     this->runtime.Every(kReopenPeriod, [this] { this->Reopen(); });
     this->runtime.OnDrain([this] {
-      this->draining = true;
+      this->operators.Drain();
       this->HandOver();
       this->runtime.Every(kDrainPeriod, [this] { this->runtime.Stop(); });
     });
@@ -103,17 +108,6 @@
   }
 
  private:
-  // A balancer or agent that has said hello.
-  struct Daemon {
-    NodeSocket::Peer peer;
-    bool balancer = false;
-    bool directory = false;
-    uint64_t listener_version = 0;
-    Millis heard;
-    Endpoint address;  // Of its data socket.
-    std::string failure_domain;
-  };
-
   // Starting, joining and failing disks.
 
   const std::string& Directory() const { return this->settings.data_directory; }
@@ -171,7 +165,7 @@
     this->AfterLog();
     LogLine("log_opened")
         .Add("member", this->log->Status(now).self.Value())
-        .Add("listener_version", this->table.Version());
+        .Add("listener_version", this->daemons.Listeners().Version());
   }
 
   ControlLog::Handlers LogHandlers() {
@@ -368,7 +362,7 @@
       return;
     }
     if (const auto* hello = std::get_if<Hello>(&message.value())) {
-      this->OnHello(peer, *hello);
+      this->daemons.OnHello(MonotonicNow(), peer, *hello);
     } else if (const auto* join = std::get_if<CoreJoin>(&message.value())) {
       this->OnJoin(peer, *join);
     } else if (const auto* reply =
@@ -433,10 +427,7 @@
     const Millis now = MonotonicNow();
     if (now < this->next_expiry) return;
     this->next_expiry = now + Millis(1000);
-    this->directory.Expire(now);
-    std::erase_if(this->daemons, [now](const auto& item) {
-      return now - item.second.heard > kDaemonExpiry;
-    });
+    this->daemons.Expire(now);
     this->socket.Keep([cores = this->OtherCores()](const Endpoint& address) {
       return std::find(cores.begin(), cores.end(), address) != cores.end();
     });
@@ -446,7 +437,7 @@
   void AfterLog() {
     if (this->log == nullptr) return;
     const PutListeners& listeners = this->log->State().Listeners();
-    if (listeners.version <= this->table.Version()) return;
+    if (listeners.version <= this->daemons.Listeners().Version()) return;
     const Result<ListenerSet> set =
         this->formats.listener.read(listeners.document);
     if (!set.has_value()) {
@@ -457,17 +448,9 @@
           .Add("detail", set.error().message);
       return;
     }
-    this->table.Apply(set.value());
-    LogLine("listeners_committed")
-        .Add("version", this->table.Version())
-        .Add("listeners", this->table.Size());
-    for (auto& [id, daemon] : this->daemons) {
-      if (daemon.balancer) this->SendUpdate(&daemon, {});
-    }
+    this->daemons.Publish(MonotonicNow(), set.value());
   }
 
-  // Daemons.
-
   std::vector<std::string> MemberTexts() const {
     if (this->log == nullptr) return this->known_members;
     std::vector<std::string> out;
@@ -478,92 +461,6 @@
     return out;
   }
 
-  void OnHello(const NodeSocket::Peer& peer, const Hello& hello) {
-    const Millis now = MonotonicNow();
-    Daemon& daemon = this->daemons[peer.routing_id];
-    daemon = {peer, hello.balancer, hello.directory,     hello.listener_version,
-              now,  hello.address,  hello.failure_domain};
-    if (!hello.agent.empty()) {
-      const bool changed = this->directory.Merge(now, hello.agent.front());
-      if (changed) this->PushAgent(hello.agent.front());
-    }
-    this->SendUpdate(&daemon,
-                     hello.directory ? this->directory.Records(now)
-                                     : std::vector<AgentRecord>{},
-                     hello.directory);
-  }
-
-  std::vector<Endpoint> BalancersNear(const Daemon& near) const {
-    std::vector<Endpoint> out;
-    for (const auto& [id, daemon] : this->daemons) {
-      if (daemon.balancer && daemon.failure_domain == near.failure_domain) {
-        out.push_back(daemon.address);
-      }
-    }
-    return out;
-  }
-
-  void PushAgent(const AgentRecord& record) {
-    LogLine("agent_changed")
-        .Add("agent", ToString(record.address))
-        .Add("failure_domain", record.failure_domain)
-        .Add("state", ToString(record.state));
-    for (auto& [id, daemon] : this->daemons) {
-      if (daemon.balancer) this->SendUpdate(&daemon, {record});
-    }
-  }
-
-  void SendUpdate(Daemon* daemon, std::vector<AgentRecord> agents,
-                  bool whole_directory = false) {
-    Update update;
-    update.agents = std::move(agents);
-    update.members = this->MemberTexts();
-    update.complete =
-        whole_directory && MonotonicNow() - this->started > kDirectorySettles;
-    if (whole_directory) update.balancers = this->BalancersNear(*daemon);
-    if (daemon->balancer && daemon->listener_version < this->table.Version()) {
-      update.listeners = this->table.DeltaSince(daemon->listener_version);
-      // Stated again by the next hello where this message is lost.
-      daemon->listener_version = this->table.Version();
-    }
-    this->socket.Reply(daemon->peer, Encode(NodeMessage(update)));
-  }
-
-  // Operators.
-
-  void Refuse(const HttpServer::Respond& respond, uint32_t status,
-              const std::string& detail) {
-    respond({status, this->formats.api.error(detail), {}});
-  }
-
-  void OnRequest(const HttpRequest& request,
-                 const HttpServer::Respond& respond) {
-    const ApiRequest call = this->formats.api.read(request);
-    if (const auto* refusal = std::get_if<ApiRefusal>(&call)) {
-      LogLine("request_refused")
-          .Warn()
-          .Add("target", request.target.substr(0, 100))
-          .Add("status", refusal->status)
-          .Add("detail", refusal->message);
-      this->Refuse(respond, refusal->status, refusal->message);
-      return;
-    }
-    const auto* put = std::get_if<ListenerPut>(&call);
-    if (put == nullptr && !std::holds_alternative<ListenerGet>(call)) {
-      this->Refuse(respond, 404, "not served here");
-      return;
-    }
-    if (this->draining) {
-      this->Refuse(respond, 503, "this instance stops");
-    } else if (!this->Leads()) {
-      this->Redirect(request, respond);
-    } else if (put != nullptr) {
-      this->OnPut(*put, respond);
-    } else {
-      this->OnGet(respond);
-    }
-  }
-
   void SetGauges() {
     const bool open = this->log != nullptr;
     const ReplicaStatus status =
@@ -575,11 +472,12 @@
         static_cast<double>(status.membership.members.size()));
     this->metrics.SetGauge("cornelhill_node_faults_tolerated",
                            status.faults_tolerated);
-    this->metrics.SetGauge("cornelhill_node_listener_version",
-                           static_cast<double>(this->table.Version()));
+    this->metrics.SetGauge(
+        "cornelhill_node_listener_version",
+        static_cast<double>(this->daemons.Listeners().Version()));
     this->metrics.SetGauge(
         "cornelhill_node_agents",
-        static_cast<double>(this->directory.Entries().size()));
+        static_cast<double>(this->daemons.Agents().Entries().size()));
   }
 
   bool Leads() const {
@@ -587,127 +485,25 @@
            this->log->Status(MonotonicNow()).role == ReplicaRole::kLeader;
   }
 
-  void RedirectTo(const Endpoint& member, const HttpRequest& request,
-                  const HttpServer::Respond& respond) {
-    const Endpoint to{member.address, this->settings.operators->port};
-    LogLine("request_redirected")
-        .Add("method", request.method)
-        .Add("member", ToString(to));
-    respond({307, {}, "http://" + ToString(to) + request.target, {}});
-  }
-
-  void Redirect(const HttpRequest& request,
-                const HttpServer::Respond& respond) {
-    if (this->log != nullptr) {
-      const ReplicaStatus status = this->log->Status(MonotonicNow());
-      const Member* leader = FindMember(status.membership, status.leader);
-      const Result<CoreAddress> address =
-          ParseCoreAddress(leader == nullptr ? std::string() : leader->address);
-      if (address.has_value() && status.leader != status.self) {
-        this->RedirectTo(address.value().endpoint, request, respond);
-        return;
-      }
-    }
-    if (this->log == nullptr && !this->known_members.empty()) {
-      const size_t index = this->random.Below(this->known_members.size());
-      const Result<CoreAddress> member =
-          ParseCoreAddress(this->known_members[index]);
-      if (member.has_value() &&
-          member.value().endpoint != this->settings.CoreAddress()) {
-        this->RedirectTo(member.value().endpoint, request, respond);
-        return;
-      }
-    }
-    LogLine("request_not_decided")
-        .Warn()
-        .Add("method", request.method)
-        .Add("log_open", this->log == nullptr ? 0 : 1)
-        .Add("held", this->table.Version());
-    this->Refuse(respond, 503, "no leader is known");
-  }
-
-  void OnPut(const ListenerPut& put, const HttpServer::Respond& respond) {
-    const Millis now = MonotonicNow();
-    const uint64_t held = this->log->State().Listeners().version;
-    const auto log_order = [this, put, held, now](std::string_view outcome) {
-      this->metrics.CountDecision("order", outcome);
-      this->metrics.ObserveTime("cornelhill_node_order_seconds",
-                                MonotonicNow() - now);
-      LogLine("order")
-          .Add("version", put.version)
-          .Add("held", held)
-          .Add("outcome", outcome);
-    };
-    if (put.version <= held) {
-      this->log->Confirm(
-          now, [this, respond, log_order](std::optional<Millis> started) {
-            log_order(started.has_value() ? "superseded" : "unconfirmed");
-            if (started.has_value()) {
-              respond({200, "{}", {}});
-            } else {
-              this->Refuse(respond, 503, "this instance cannot confirm");
-            }
-          });
-      this->AfterLog();
-      return;
-    }
-    Command command;
-    command.request_id = "listeners-" + std::to_string(put.version) + "-" +
-                         std::to_string(Hash64(put.document));
-    command.operator_name = "operator";
-    command.body = PutListeners{put.version, put.document};
-    this->log->Propose(
-        now, command,
-        [this, respond, log_order](const Result<CommandResponse>& response) {
-          if (response.has_value()) {
-            log_order("accepted");
-            respond({200, "{}", {}});
-          } else {
-            log_order("failed");
-            this->Refuse(respond, 503, response.error().message);
-          }
-        });
-    this->AfterLog();
-  }
-
-  void OnGet(const HttpServer::Respond& respond) {
-    this->log->Confirm(
-        MonotonicNow(), [this, respond](std::optional<Millis> started) {
-          const PutListeners& held = this->log->State().Listeners();
-          if (!started.has_value() || held.version == 0) {
-            this->Refuse(respond, 503,
-                         started.has_value() ? "no configuration yet"
-                                             : "this instance cannot confirm");
-            return;
-          }
-          respond({200, held.document, {}});
-        });
-    this->AfterLog();
-  }
-
   const NodeSettings& settings;
   const PlatformFormats& formats;
   uint64_t seed;
-  Random random;
   Runtime runtime;
   NodeSocket socket;
-  HttpServer operators;
+  HttpServer http;
   std::vector<Endpoint> seeds;
   SettingsWatch watch;
   NodeMetrics metrics;
   std::unique_ptr<ControlLog> log;  // Null while joining or without a disk.
   bool empty_disk = false;
   bool reopen = false;
-  bool draining = false;
   std::string halt_reason;
   Millis leader_heard;
-  Millis started;
   CoreMembership membership;
   std::vector<std::string> known_members;  // While there is no log.
   std::map<MemberId, Endpoint> addresses;  // As messages stated them.
-  ListenerTable table;
-  AgentDirectory directory;
-  std::map<std::string, Daemon> daemons;  // By routing id.
+  CoreDaemons daemons;
+  CoreOperators operators;
   Millis next_expiry;
 };
 
