State changes of listeners only from versions that were held

A core member that replays its log in one step goes from one version to a much later one. It stated changes from versions in between, of which it does not know what was removed, so a balancer that had followed another member kept a removed listener.

Ruled out: a restarted balancer or agent (the log shows none after 46 s) and a version that went back (versions in effect rise only).

A table now keeps the versions that it held, and sends itself whole to anyone at another one.

--- a/include/cornelhill/base/log.h
+++ b/include/cornelhill/base/log.h
@@ -7,10 +7,13 @@
 
 namespace cornelhill {
 
-// Prepares logging to standard error. Call once, before other threads start.
-// `process` is printed on every line.
+// Prepares logging to standard output. Call once, before other threads start.
+// `process` is printed on every line. A line that would block is left out.
 void InitLogging(const std::string& process);
 
+// Lines that were left out because standard output was full. Thread-safe.
+uint64_t DroppedLogLines();
+
 // Lines of one event name in one second; the next second's first line states
 // how many were left out. Writing is part of what a request costs.
 constexpr uint32_t kMaxLinesPerSecond = 20;
--- a/include/cornelhill/segment/listener_table.h
+++ b/include/cornelhill/segment/listener_table.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "cornelhill/base/flow_key.h"
@@ -92,8 +93,8 @@
   // change.
   const Listener* Find(const Endpoint& address) const;
 
-  // Returns what changed since `from`; the whole table where `from` is 0 or
-  // older than what is known of removals.
+  // Returns what changed since `from`; the whole table where this one has not
+  // held version `from` itself: it does not know what was removed since.
   ListenerDelta DeltaSince(uint64_t from) const;
 
   // Picks the service of a new flow by weight: a pure function of the flow and
@@ -107,13 +108,14 @@
     uint64_t changed = 0;
   };
 
-  // Removals kept for deltas; a table further behind is sent whole.
-  static constexpr size_t kKeptRemovals = 4096;
+  // Versions that deltas may start from; a table further behind is sent whole.
+  static constexpr size_t kKeptVersions = 1024;
 
   void Remove(const Endpoint& address, uint64_t at);
+  void MoveTo(uint64_t next);
 
   uint64_t version = 0;
-  uint64_t floor = 0;  // Removals after this version are known.
+  std::set<uint64_t> held;  // The last versions that this table held.
   std::map<Endpoint, Entry> entries;
   std::map<Endpoint, uint64_t> removed;
 };
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,14 +1,19 @@
 #include "cornelhill/base/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <atomic>
+#include <climits>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <sstream>
 
 #include "cornelhill/base/millis.h"
 
@@ -80,13 +85,39 @@
   return limiter;
 }
 
+std::atomic<uint64_t> dropped_lines = 0;
+
+// Writes to standard output without ever waiting for its reader.
+class OutputAppender : public log4cplus::Appender {
+ public:
+  ~OutputAppender() override { this->destructorImpl(); }
+  void close() override {}
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    // A pipe that is ready takes `PIPE_BUF` bytes without blocking.
+    pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+    std::ostringstream line;
+    this->layout->formatAndAppend(line, event);
+    std::string bytes = line.str();
+    if (bytes.size() > PIPE_BUF) {
+      bytes.resize(PIPE_BUF - 1);
+      bytes += '\n';
+    }
+    if (poll(&ready, 1, 0) != 1 ||
+        write(STDOUT_FILENO, bytes.data(), bytes.size()) < 0) {
+      ++dropped_lines;
+    }
+  }
+};
+
 }  // namespace
 
+uint64_t DroppedLogLines() { return dropped_lines; }
+
 void InitLogging(const std::string& process) {
   log4cplus::initialize();
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
-                                     /*immediateFlush=*/true));
+  log4cplus::SharedAppenderPtr appender(new OutputAppender());
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p process=" + process + " %m%n"));
   Output().removeAllAppenders();
--- a/src/segment/listener_table.cc
+++ b/src/segment/listener_table.cc
@@ -31,27 +31,31 @@
     if (!present.contains(address)) gone.push_back(address);
   }
   for (const Endpoint& address : gone) this->Remove(address, set.version);
-  if (this->version == 0) this->floor = set.version;
-  this->version = set.version;
+  this->MoveTo(set.version);
   return true;
 }
 
 void ListenerTable::Remove(const Endpoint& address, uint64_t at) {
   this->entries.erase(address);
-  if (this->removed.size() >= kKeptRemovals) {
-    this->removed.clear();
-    this->floor = at;
-    return;
-  }
   this->removed[address] = at;
 }
 
+void ListenerTable::MoveTo(uint64_t next) {
+  this->version = next;
+  this->held.insert(next);
+  if (this->held.size() <= kKeptVersions) return;
+  this->held.erase(this->held.begin());
+  const uint64_t oldest = *this->held.begin();
+  std::erase_if(this->removed,
+                [oldest](const auto& item) { return item.second <= oldest; });
+}
+
 bool ListenerTable::Apply(const ListenerDelta& delta) {
   if (delta.to <= this->version || delta.base > this->version) return false;
   if (delta.base == 0) {
     this->entries.clear();
     this->removed.clear();
-    this->floor = delta.to;
+    this->held.clear();
   }
   for (const ListenerChange& change : delta.changes) {
     if (change.removed) {
@@ -62,7 +66,7 @@
       this->removed.erase(change.listener.address);
     }
   }
-  this->version = delta.to;
+  this->MoveTo(delta.to);
   return true;
 }
 
@@ -72,7 +76,7 @@
 }
 
 ListenerDelta ListenerTable::DeltaSince(uint64_t from) const {
-  const bool whole = from == 0 || from < this->floor;
+  const bool whole = !this->held.contains(from);
   ListenerDelta delta{whole ? 0 : from, this->version, {}};
   for (const auto& [address, entry] : this->entries) {
     if (!whole && entry.changed <= from) continue;
--- a/src/segment/segment_balancer_seek.cc
+++ b/src/segment/segment_balancer_seek.cc
@@ -24,8 +24,8 @@
 constexpr Millis kSeekPause{150};
 constexpr Millis kSeekPauseMax{2400};
 constexpr Millis kSeekMemory{5000};
-// A flow is placed at one of eight agents that its addresses select; agents that
-// joined since have moved these down.
+// A flow is placed at one of eight agents that its addresses select; agents
+// that joined since have moved these down.
 constexpr size_t kSoughtCandidates = 12;
 // With up to this many agents the first seek asks all of them; otherwise a
 // repeated one does.
--- a/tests/segment/listener_table_test.cc
+++ b/tests/segment/listener_table_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <map>
+#include <vector>
 
 #include "cornelhill/base/random.h"
 
@@ -74,6 +75,40 @@
   }
 }
 
+// Guards against hunt seed 863522582379 of failing-disks-and-cut-core on
+// fmn-aula: a core member that had replayed its log in one step did not know of
+// a listener that was added and removed in between, and left it in effect at a
+// balancer that had followed another member.
+Test(listener_table, senders_that_skip_versions_lead_to_the_same_table) {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    Random random(seed);
+    std::map<uint16_t, Listener> naive;
+    std::vector<ListenerTable> senders(3);
+    ListenerTable receiver;
+    for (uint64_t version = 1; version <= 200; ++version) {
+      const auto port = static_cast<uint16_t>(random.Below(20));
+      if (random.Chance(0.5)) {
+        naive.erase(port);
+      } else {
+        naive[port] = MakeListener(port, random.Below(4));
+      }
+      ListenerSet set{version, {}};
+      for (const auto& [key, listener] : naive) {
+        set.listeners.push_back(listener);
+      }
+      for (ListenerTable& sender : senders) {
+        if (random.Chance(0.05)) sender = ListenerTable();
+        if (random.Chance(0.6)) sender.Apply(set);
+      }
+      const ListenerTable& sender = senders[random.Below(senders.size())];
+      if (sender.Version() <= receiver.Version()) continue;
+      cr_assert(receiver.Apply(sender.DeltaSince(receiver.Version())));
+      cr_assert(SameContent(sender, receiver), "seed %zu version %zu",
+                static_cast<size_t>(seed), static_cast<size_t>(version));
+    }
+  }
+}
+
 // Fails where weights do not decide, or the pick differs between processes.
 Test(listener_table, weights_share_new_flows) {
   Listener listener = MakeListener(1, 10, 90);
