Keep a drain over the lapse of a lease in the test pool

Control keeps the drain of a departed instance (ControlState::Execute of UpstreamJoin), so the stand-in was wrong, not the agent.

Ruled out: the agent's own drain flag, which survives a rejoin, and the view order, whose revisions rise.

--- a/tests/agent/pool_test.cc
+++ b/tests/agent/pool_test.cc
@@ -248,6 +248,19 @@
   }
 }
 
+// Guards against new flows at an upstream that was drained while its agent was
+// paused for longer than its lease and that then joins again (seed 150).
+Test(pool, drain_outlives_a_lapse_of_the_lease) {
+  for (uint64_t i = 0; i < Seeds(20); ++i) {
+    const uint64_t seed = FirstSeed() + i;
+    TestPool pool(ConfigOf(seed));
+    AddFlows(pool, 2, seed);
+    pool.At(Millis(4000), [&pool] { pool.Pause(0, Millis(6200)); });
+    pool.At(Millis(6000), [&pool] { pool.DrainUpstream(0); });
+    CheckPool(pool, "lapse", seed);
+  }
+}
+
 // Guards against a packet that reaches another service when an instance is
 // reused for it at the same address while balancers still have the old view.
 Test(pool, reused_instance_serves_only_its_new_service) {
--- a/tests/support/pool.cc
+++ b/tests/support/pool.cc
@@ -141,6 +141,8 @@
   upstream.agent = process.address;
   upstream.failure_domain = FailureDomainId(DomainOf(agent));
   upstream.slots = process.slots;
+  // Control keeps the drain of an instance whose lease lapses.
+  upstream.draining = process.drained_at >= Millis();
   ServiceView& view = this->views[process.service];
   for (const UpstreamInfo& earlier : view.upstreams) {
     if (earlier.instance != process.instance) continue;
