Log level of node processes; an entry leaves within the grace period

log_level (info, warn, error, off) is a setting of node processes, so that what logging costs can be measured. The entry's wait before it leaves is bounded by grace_ms, which was checked and not used. Counters of decisions and histograms are looked up once. SegmentFormat::mark only cleared the returned flag and is clear_returned now; the field that it wrote was read by nobody. Tests: lines below the level, the level's check.

--- a/include/cornelhill/base/log.h
+++ b/include/cornelhill/base/log.h
@@ -2,14 +2,21 @@
 
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace cornelhill {
 
+// Lines below the level are not written.
+enum class LogLevel : uint8_t { kInfo = 0, kWarn = 1, kError = 2, kOff = 3 };
+
+// Reads "info", "warn", "error" or "off". Thread-safe.
+std::optional<LogLevel> ParseLogLevel(std::string_view text);
+
 // Prepares logging to standard output. Call once, before other threads start.
 // `process` is printed on every line. A line that would block is left out.
-void InitLogging(const std::string& process);
+void InitLogging(const std::string& process, LogLevel level = LogLevel::kInfo);
 
 // Lines that were left out because standard output was full. Thread-safe.
 uint64_t DroppedLogLines();
@@ -43,7 +50,7 @@
 
  private:
   std::string text;
-  int level = 0;
+  LogLevel level = LogLevel::kInfo;
   bool omitted = false;
 };
 
--- a/include/cornelhill/config/node_settings.h
+++ b/include/cornelhill/config/node_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cornelhill/base/flow_key.h"
+#include "cornelhill/base/log.h"
 #include "cornelhill/base/millis.h"
 #include "cornelhill/base/result.h"
 
@@ -41,6 +42,7 @@
   Millis flow_lifetime{60000};
   Millis heartbeat{1200};
   std::optional<Endpoint> metrics;
+  LogLevel log_level = LogLevel::kInfo;
   std::string path;  // Of the file that the settings were read from.
 
   bool operator==(const NodeSettings&) const = default;
--- a/include/cornelhill/node/node_metrics.h
+++ b/include/cornelhill/node/node_metrics.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cornelhill/base/flow_key.h"
@@ -29,14 +30,15 @@
   // Called before each answer, to set gauges.
   void OnCollect(std::function<void()> action);
 
-  // Counts a decision by its event name and reason; both from fixed sets.
+  // Counts a decision by its event name and reason, which are string literals.
   void CountDecision(std::string_view event, std::string_view reason);
 
   // Sets a value by name, e.g. "cornelhill_node_flows".
   void SetGauge(const std::string& name, double value);
 
-  // Adds to a histogram of times by name, e.g. "..._first_reply_seconds".
-  void ObserveTime(const std::string& name, Millis time);
+  // Adds to a histogram of times by name, which is a string literal, e.g.
+  // "..._first_reply_seconds".
+  void ObserveTime(std::string_view name, Millis time);
 
  private:
   struct Impl;
--- a/include/cornelhill/segment/segment.h
+++ b/include/cornelhill/segment/segment.h
@@ -31,7 +31,6 @@
   uint32_t sequence = 0;
   uint32_t acknowledged = 0;
   uint32_t data_bytes = 0;
-  uint32_t delivery_mark = 0;  // Of `mark`; kept by the upstream on a return.
 };
 
 // How packets look on the wire. All functions are thread-safe and keep no
@@ -43,9 +42,9 @@
   // caller's window.
   std::string (*reset)(const Endpoint& listener, const Endpoint& caller,
                        uint32_t sequence) = nullptr;
-  // Writes `delivery_mark` and clears `returned`. Requires a datagram that
+  // Makes a returned packet as its sender wrote it. Requires a datagram that
   // `read` accepted.
-  void (*mark)(uint32_t delivery_mark, std::string* datagram) = nullptr;
+  void (*clear_returned)(std::string* datagram) = nullptr;
 };
 
 using SegmentFormatRegistry = Registry<SegmentFormat>;
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -21,9 +21,6 @@
 
 namespace {
 
-constexpr int kWarn = 1;
-constexpr int kError = 2;
-
 bool NeedsQuotes(std::string_view value) {
   return value.empty() || value.find_first_of(" \"=\n\t\\") != value.npos;
 }
@@ -86,6 +83,7 @@
 }
 
 std::atomic<uint64_t> dropped_lines = 0;
+std::atomic<LogLevel> lowest_level = LogLevel::kInfo;
 
 // Writes to standard output without ever waiting for its reader.
 class OutputAppender : public log4cplus::Appender {
@@ -115,7 +113,16 @@
 
 uint64_t DroppedLogLines() { return dropped_lines; }
 
-void InitLogging(const std::string& process) {
+std::optional<LogLevel> ParseLogLevel(std::string_view text) {
+  if (text == "info") return LogLevel::kInfo;
+  if (text == "warn") return LogLevel::kWarn;
+  if (text == "error") return LogLevel::kError;
+  if (text == "off") return LogLevel::kOff;
+  return std::nullopt;
+}
+
+void InitLogging(const std::string& process, LogLevel level) {
+  lowest_level = level;
   log4cplus::initialize();
   log4cplus::SharedAppenderPtr appender(new OutputAppender());
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
@@ -126,6 +133,10 @@
 }
 
 LogLine::LogLine(std::string_view event) {
+  if (lowest_level == LogLevel::kOff) {
+    this->omitted = true;
+    return;
+  }
   uint64_t left_out = 0;
   if (!Limiter().Admit(event, MonotonicNow(), &left_out)) {
     this->omitted = true;
@@ -137,12 +148,12 @@
 }
 
 LogLine::~LogLine() {
-  if (this->omitted) return;
+  if (this->omitted || this->level < lowest_level) return;
   switch (this->level) {
-    case kWarn:
+    case LogLevel::kWarn:
       LOG4CPLUS_WARN(Output(), this->text);
       break;
-    case kError:
+    case LogLevel::kError:
       LOG4CPLUS_ERROR(Output(), this->text);
       break;
     default:
@@ -164,12 +175,12 @@
 }
 
 LogLine& LogLine::Warn() {
-  this->level = kWarn;
+  this->level = LogLevel::kWarn;
   return *this;
 }
 
 LogLine& LogLine::Error() {
-  this->level = kError;
+  this->level = LogLevel::kError;
   return *this;
 }
 
--- a/src/config/node_settings.cc
+++ b/src/config/node_settings.cc
@@ -169,6 +169,12 @@
       Millis(reader.Number("flow_lifetime_ms", 60000, 1000, kMaxMillis));
   out.heartbeat = Millis(reader.Number("heartbeat_ms", 1200, 50, kMaxMillis));
   out.metrics = reader.Address("metrics", false);
+  const std::string level = reader.Text("log_level", false);
+  const auto known = level.empty() ? LogLevel::kInfo : ParseLogLevel(level);
+  if (!known.has_value()) {
+    reader.Refuse("log_level", "info, warn, error or off");
+  }
+  out.log_level = known.value_or(LogLevel::kInfo);
   const std::string fault = reader.Fault();
   if (!fault.empty()) return Fail(ErrorCode::kInvalidArgument, fault);
   return out;
--- a/src/cornelhilld/node_mode.cc
+++ b/src/cornelhilld/node_mode.cc
@@ -21,7 +21,7 @@
               << " are valid\n";
     return kExitOk;
   }
-  InitLogging(settings.value().instance);
+  InitLogging(settings.value().instance, settings.value().log_level);
   const Result<void> result = RunNode(settings.value());
   if (!result.has_value()) {
     LogLine("process_failed").Error().Add("error", result.error().message);
--- a/src/node/entry_role.cc
+++ b/src/node/entry_role.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <string>
@@ -23,6 +24,8 @@
 // A router takes a balancer out of rotation after two checks that fail, half a
 // second apart; the third half second is for packets on their way.
 constexpr Millis kLeaveRotation{1500};
+// Left of the grace period for the end of the process.
+constexpr Millis kEndMargin{250};
 constexpr Millis kCountersPeriod{10000};
 
 SegmentBalancerSettings BalancerSettings(const NodeSettings& settings,
@@ -83,7 +86,9 @@
     this->runtime.Every(kCountersPeriod, [this] { this->LogCounters(); });
     this->runtime.OnDrain([this] {
       this->draining = true;
-      this->runtime.Every(kLeaveRotation, [this] { this->runtime.Stop(); });
+      const Millis leave =
+          std::min(kLeaveRotation, this->settings.grace - kEndMargin);
+      this->runtime.Every(leave, [this] { this->runtime.Stop(); });
     });
     LogLine("process_started")
         .Add("role", "entry")
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -6,6 +6,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <map>
 #include <utility>
 
 namespace cornelhill {
@@ -46,6 +47,10 @@
 
   std::string role;
   prometheus::Registry registry;
+  // Looking a metric up by its labels costs more than a decision.
+  std::map<std::pair<std::string_view, std::string_view>, prometheus::Counter*>
+      decisions;
+  std::map<std::string_view, prometheus::Histogram*> times;
   std::function<void()> collect;
   HttpServer server;
 };
@@ -65,14 +70,17 @@
 
 void NodeMetrics::CountDecision(std::string_view event,
                                 std::string_view reason) {
-  prometheus::BuildCounter()
-      .Name("cornelhill_node_decisions_total")
-      .Help("Decisions by event and reason")
-      .Register(this->impl->registry)
-      .Add({{"role", this->impl->role},
-            {"event", std::string(event)},
-            {"reason", std::string(reason)}})
-      .Increment();
+  prometheus::Counter*& counter = this->impl->decisions[{event, reason}];
+  if (counter == nullptr) {
+    counter = &prometheus::BuildCounter()
+                   .Name("cornelhill_node_decisions_total")
+                   .Help("Decisions by event and reason")
+                   .Register(this->impl->registry)
+                   .Add({{"role", this->impl->role},
+                         {"event", std::string(event)},
+                         {"reason", std::string(reason)}});
+  }
+  counter->Increment();
 }
 
 void NodeMetrics::SetGauge(const std::string& name, double value) {
@@ -84,13 +92,16 @@
       .Set(value);
 }
 
-void NodeMetrics::ObserveTime(const std::string& name, Millis time) {
-  prometheus::BuildHistogram()
-      .Name(name)
-      .Help("See docs/metrics.md")
-      .Register(this->impl->registry)
-      .Add({{"role", this->impl->role}}, TimeBounds())
-      .Observe(static_cast<double>(time.Count()) / 1000.0);
+void NodeMetrics::ObserveTime(std::string_view name, Millis time) {
+  prometheus::Histogram*& histogram = this->impl->times[name];
+  if (histogram == nullptr) {
+    histogram = &prometheus::BuildHistogram()
+                     .Name(std::string(name))
+                     .Help("See docs/metrics.md")
+                     .Register(this->impl->registry)
+                     .Add({{"role", this->impl->role}}, TimeBounds());
+  }
+  histogram->Observe(static_cast<double>(time.Count()) / 1000.0);
 }
 
 }  // namespace cornelhill
--- a/src/node/sidecar_role.cc
+++ b/src/node/sidecar_role.cc
@@ -175,8 +175,7 @@
       return;
     }
     SegmentAgentOutput out;
-    this->agent.OnPeer(MonotonicNow(), from, std::move(message.value()),
-                           &out);
+    this->agent.OnPeer(MonotonicNow(), from, std::move(message.value()), &out);
     this->Carry(std::move(out));
   }
 
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -374,7 +374,7 @@
 void SegmentAgent::OnReturned(Millis now, const Segment& segment,
                               std::string datagram, SegmentAgentOutput* out) {
   const SegmentFlow flow{segment.source, segment.destination};
-  this->settings.format.mark(0, &datagram);
+  this->settings.format.clear_returned(&datagram);
   if (segment.opens && !segment.accepts) {
     this->OnReturnedFirst(now, flow, std::move(datagram), out);
     return;
--- a/tests/base/log_test.cc
+++ b/tests/base/log_test.cc
@@ -41,6 +41,21 @@
   cr_assert_gt(DroppedLogLines(), 500U);
 }
 
+// Fails where lines below the level are written.
+Test(log, lines_below_the_level_are_left_out) {
+  for (const char* name : {"warn", "off"}) {
+    const int end = PipeOutput();
+    InitLogging("test", ParseLogLevel(name).value());
+    LogLine("calm").Add("key", 1);
+    LogLine("warning").Warn();
+    const std::string written = ReadAll(end);
+    cr_assert_eq(written.find("calm"), std::string::npos);
+    cr_assert_eq(written.find("warning") == std::string::npos,
+                 std::string_view(name) == "off");
+  }
+  cr_assert_not(ParseLogLevel("loud").has_value());
+}
+
 // Fails where a flood of one event is written whole, or hides other events.
 Test(log, a_flood_of_one_event_is_bounded) {
   const int end = PipeOutput();
--- a/tests/config/node_settings_test.cc
+++ b/tests/config/node_settings_test.cc
@@ -52,6 +52,10 @@
                "side.json: field upstream is nothing; accepted: this field is "
                "required");
   document = Sidecar();
+  document["log_level"] = "loud";
+  cr_assert_neq(error_of(document).find("log_level is \"loud\""),
+                std::string::npos);
+  document.erase("log_level");
   document["grace_ms"] = -1;
   cr_assert_neq(error_of(document).find("grace_ms is -1"), std::string::npos);
   document = Sidecar();
--- a/tests/platform/packet_format_test.cc
+++ b/tests/platform/packet_format_test.cc
@@ -41,14 +41,14 @@
 }
 
 // Fails where a returned packet does not go on as its sender wrote it.
-Test(packet_format, mark_changes_only_what_the_sum_leaves_out) {
+Test(packet_format, clearing_changes_only_what_the_sum_leaves_out) {
   std::string packet(32 + 3, '\x5a');
   packet[16] = '\x22';
   packet[22] = 0;
   packet[23] = 3;
   const std::string before = packet;
   cr_assert(Format().read(packet).value().returned);
-  Format().mark(0, &packet);
+  Format().clear_returned(&packet);
   const Segment segment = Format().read(packet).value();
   cr_assert_not(segment.returned);
   for (size_t i = 0; i < packet.size(); ++i) {
--- a/tests/segment/segment_world.h
+++ b/tests/segment/segment_world.h
@@ -15,7 +15,7 @@
 namespace cornelhill {
 
 // A readable packet format, so that tests of decisions need no platform:
-// "source port destination port flags mark sequence acknowledged bytes".
+// "source port destination port flags sequence acknowledged bytes".
 namespace text_format {
 
 constexpr uint32_t kOpens = 1;
@@ -34,8 +34,8 @@
   std::ostringstream out;
   out << segment.source.address << ' ' << segment.source.port << ' '
       << segment.destination.address << ' ' << segment.destination.port << ' '
-      << flags << ' ' << segment.delivery_mark << ' ' << segment.sequence << ' '
-      << segment.acknowledged << ' ' << segment.data_bytes;
+      << flags << ' ' << segment.sequence << ' ' << segment.acknowledged << ' '
+      << segment.data_bytes;
   return out.str();
 }
 
@@ -44,8 +44,8 @@
   Segment out;
   uint32_t flags = 0;
   in >> out.source.address >> out.source.port >> out.destination.address >>
-      out.destination.port >> flags >> out.delivery_mark >> out.sequence >>
-      out.acknowledged >> out.data_bytes;
+      out.destination.port >> flags >> out.sequence >> out.acknowledged >>
+      out.data_bytes;
   if (!in) return Fail(ErrorCode::kMalformed, "not a test packet");
   out.opens = (flags & kOpens) != 0;
   out.accepts = (flags & kAccepts) != 0;
@@ -65,14 +65,13 @@
   return Write(segment);
 }
 
-inline void Mark(uint32_t mark, std::string* datagram) {
+inline void ClearReturned(std::string* datagram) {
   Segment segment = Read(*datagram).value();
-  segment.delivery_mark = mark;
   segment.returned = false;
   *datagram = Write(segment);
 }
 
-inline SegmentFormat Format() { return {&Read, &Reset, &Mark}; }
+inline SegmentFormat Format() { return {&Read, &Reset, &ClearReturned}; }
 
 }  // namespace text_format
 
