--- a/include/cornelhill/node/node_socket.h
+++ b/include/cornelhill/node/node_socket.h
@@ -17,8 +17,10 @@
 // thread of the event loop.
 class NodeSocket {
  public:
-  // Where a message came from: the routing id of a process that is connected to
-  // the ROUTER, or the address that this process is connected to.
+  // Where a message came from: the routing id of a connection to the ROUTER, or
+  // the address that this process is connected to. The ROUTER chooses the ids:
+  // a process with an id of its own displaces its older connection, on which
+  // libzmq 4.3.4 can fail an assertion.
   struct Peer {
     std::string routing_id;
     std::optional<Endpoint> address;
@@ -26,10 +28,7 @@
 
   using Handler = std::function<void(const Peer& peer, std::string bytes)>;
 
-  // `identity` is the routing id that other processes see; it differs between
-  // the processes of a deployment.
-  NodeSocket(boost::asio::io_context& io, std::string identity,
-             Handler handler);
+  NodeSocket(boost::asio::io_context& io, Handler handler);
   ~NodeSocket();
   NodeSocket(const NodeSocket&) = delete;
   NodeSocket& operator=(const NodeSocket&) = delete;
--- a/src/node/core_link.cc
+++ b/src/node/core_link.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "cornelhill/base/log.h"
-#include "cornelhill/base/random.h"
 #include "cornelhill/control/core_membership.h"
 
 namespace cornelhill {
@@ -29,7 +28,6 @@
       seeds(settings.seeds),
       handlers(std::move(handlers)),
       socket(runtime.Io(),
-             settings.instance + "/" + std::to_string(RandomSeed()),
              [this](const NodeSocket::Peer& peer, const std::string& bytes) {
                this->OnMessage(peer, bytes);
              }),
--- a/src/node/core_role.cc
+++ b/src/node/core_role.cc
@@ -49,7 +49,6 @@
         formats(formats),
         seed(RandomSeed()),
         socket(runtime.Io(),
-               settings.instance + "/core/" + std::to_string(this->seed),
                [this](const NodeSocket::Peer& peer, const std::string& bytes) {
                  this->OnMessage(peer, bytes);
                }),
--- a/src/node/node_socket.cc
+++ b/src/node/node_socket.cc
@@ -25,6 +25,10 @@
 // After a loss of power the others listen within half a second of each other.
 constexpr int kReconnectMaxMs = 200;
 
+// Every process of a deployment connects when it starts; a connection that
+// finds the queue full is tried again after seconds.
+constexpr int kBacklog = 1024;
+
 std::string TcpAddress(const Endpoint& address) {
   return "tcp://" + ToString(address);
 }
@@ -54,7 +58,6 @@
   };
 
   boost::asio::io_context& io;
-  std::string identity;
   Handler handler;
   zmq::context_t context{1};
   std::shared_ptr<Watched> router;
@@ -112,7 +115,6 @@
     if (found != this->dealers.end()) return found->second;
     zmq::socket_t socket(this->context, zmq::socket_type::dealer);
     SetOptions(&socket);
-    socket.set(zmq::sockopt::routing_id, this->identity);
     // Nothing is queued for a process that is not connected: a message that
     // waited for seconds is of no use to it.
     socket.set(zmq::sockopt::immediate, true);
@@ -127,9 +129,8 @@
   }
 };
 
-NodeSocket::NodeSocket(boost::asio::io_context& io, std::string identity,
-                       Handler handler)
-    : impl(new Impl{io, std::move(identity), std::move(handler)}) {}
+NodeSocket::NodeSocket(boost::asio::io_context& io, Handler handler)
+    : impl(new Impl{io, std::move(handler)}) {}
 
 NodeSocket::~NodeSocket() {
   this->Keep([](const Endpoint&) { return false; });
@@ -139,9 +140,7 @@
 Result<void> NodeSocket::Bind(const Endpoint& address) {
   zmq::socket_t socket(this->impl->context, zmq::socket_type::router);
   SetOptions(&socket);
-  // A process that reconnects under its routing id replaces its old
-  // connection.
-  socket.set(zmq::sockopt::router_handover, true);
+  socket.set(zmq::sockopt::backlog, kBacklog);
   try {
     socket.bind(TcpAddress(address));
   } catch (const zmq::error_t& error) {
--- /dev/null
+++ b/tests/node/datagram_socket_test.cc
@@ -0,0 +1,98 @@
+#include "cornelhill/node/datagram_socket.h"
+
+#include <criterion/criterion.h>
+
+#include <boost/asio/io_context.hpp>
+#include <string>
+#include <vector>
+
+#include "tests/node/free_endpoint.h"
+
+namespace cornelhill {
+namespace {
+
+// A socket that receives until it has as many datagrams as it waits for.
+struct Receiver {
+  boost::asio::io_context io;
+  DatagramSocket socket{io};
+  Endpoint address = FreeEndpoint(SOCK_DGRAM);
+  std::vector<std::string> received;
+  std::vector<Endpoint> senders;
+  size_t batches = 0;
+
+  void ReceiveUntil(size_t count) {
+    cr_assert(this->socket.Open(this->address).has_value());
+    this->socket.Start(
+        [this](Endpoint from, std::string_view bytes) {
+          this->senders.push_back(from);
+          this->received.emplace_back(bytes);
+        },
+        [this, count] {
+          ++this->batches;
+          if (this->received.size() >= count) this->io.stop();
+        });
+  }
+};
+
+// Fails where datagrams of one flush are lost, reordered or handed over one
+// system call at a time.
+Test(datagram_socket, queued_datagrams_leave_with_a_flush, .timeout = 60) {
+  constexpr size_t kCount = 100;
+  Receiver receiver;
+  receiver.ReceiveUntil(kCount);
+  DatagramSocket sender(receiver.io);
+  const Endpoint from = FreeEndpoint(SOCK_DGRAM);
+  cr_assert(sender.Open(from).has_value());
+  for (size_t i = 0; i < kCount; ++i) {
+    sender.Queue(receiver.address, "datagram " + std::to_string(i));
+  }
+  sender.Flush();
+  receiver.io.run();
+  cr_assert_eq(receiver.received.size(), kCount);
+  for (size_t i = 0; i < kCount; ++i) {
+    cr_assert_eq(receiver.received[i], "datagram " + std::to_string(i));
+    cr_assert(receiver.senders[i] == from);
+  }
+  cr_assert_lt(receiver.batches, kCount / 10);
+}
+
+// Fails where one datagram that the system refuses takes the others with it.
+Test(datagram_socket, a_refused_datagram_does_not_hold_up_others,
+     .timeout = 60) {
+  Receiver receiver;
+  receiver.ReceiveUntil(2);
+  DatagramSocket sender(receiver.io);
+  cr_assert(sender.Open(FreeEndpoint(SOCK_DGRAM)).has_value());
+  sender.Queue(receiver.address, "before");
+  sender.Queue(receiver.address, std::string(70000, 'x'));
+  sender.Queue({kLoopback, 0}, "no port");
+  sender.Queue(receiver.address, "after");
+  sender.Flush();
+  receiver.io.run();
+  cr_assert_eq(receiver.received.size(), 2U);
+  cr_assert_eq(receiver.received[0], "before");
+  cr_assert_eq(receiver.received[1], "after");
+}
+
+// Fails where a handler that closes its socket leaves the rest of the batch
+// running.
+Test(datagram_socket, a_handler_may_close_the_socket, .timeout = 60) {
+  boost::asio::io_context io;
+  DatagramSocket socket(io);
+  const Endpoint address = FreeEndpoint(SOCK_DGRAM);
+  cr_assert(socket.Open(address).has_value());
+  size_t received = 0;
+  socket.Start([&](Endpoint, std::string_view) {
+    ++received;
+    socket.Close();
+  });
+  DatagramSocket sender(io);
+  cr_assert(sender.Open(FreeEndpoint(SOCK_DGRAM)).has_value());
+  for (int i = 0; i < 5; ++i) sender.Queue(address, "x");
+  sender.Flush();
+  io.run();
+  cr_assert_eq(received, 1U);
+}
+
+}  // namespace
+}  // namespace cornelhill
--- /dev/null
+++ b/tests/node/node_socket_test.cc
@@ -0,0 +1,106 @@
+#include "cornelhill/node/node_socket.h"
+
+#include <criterion/criterion.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "tests/node/free_endpoint.h"
+
+namespace cornelhill {
+namespace {
+
+// Calls `action` every few milliseconds: what is sent before there is a
+// connection is dropped.
+class Repeat {
+ public:
+  Repeat(boost::asio::io_context& io, std::function<void()> action)
+      : timer(io), action(std::move(action)) {
+    this->Schedule();
+  }
+
+ private:
+  void Schedule() {
+    this->timer.expires_after(std::chrono::milliseconds(5));
+    this->timer.async_wait([this](const boost::system::error_code& error) {
+      if (error) return;
+      this->action();
+      this->Schedule();
+    });
+  }
+
+  boost::asio::steady_timer timer;
+  std::function<void()> action;
+};
+
+// Fails where an answer does not reach the process that asked.
+Test(node_socket, answers_reach_the_process_that_asked, .timeout = 60) {
+  boost::asio::io_context io;
+  const Endpoint address = FreeEndpoint(SOCK_STREAM);
+  std::unique_ptr<NodeSocket> server;
+  server = std::make_unique<NodeSocket>(
+      io, [&](const NodeSocket::Peer& peer, const std::string& text) {
+        server->Reply(peer, "answer to " + text);
+      });
+  cr_assert(server->Bind(address).has_value());
+  std::string first_answer;
+  std::string second_answer;
+  const auto stop_when_done = [&] {
+    if (!first_answer.empty() && !second_answer.empty()) io.stop();
+  };
+  NodeSocket first(io, [&](const NodeSocket::Peer& peer, std::string text) {
+    cr_assert(peer.address == address);
+    first_answer = std::move(text);
+    stop_when_done();
+  });
+  NodeSocket second(io, [&](const NodeSocket::Peer&, std::string text) {
+    second_answer = std::move(text);
+    stop_when_done();
+  });
+  const Repeat repeat(io, [&] {
+    first.Send(address, "first");
+    second.Send(address, "second");
+  });
+  io.run();
+  cr_assert_eq(first_answer, "answer to first");
+  cr_assert_eq(second_answer, "answer to second");
+}
+
+// Fails where a process that is started anew at the same address is not
+// connected to again.
+Test(node_socket, a_server_that_comes_back_is_reached_again, .timeout = 60) {
+  boost::asio::io_context io;
+  const Endpoint address = FreeEndpoint(SOCK_STREAM);
+  int life = 1;
+  std::unique_ptr<NodeSocket> server;
+  const auto start = [&] {
+    server = std::make_unique<NodeSocket>(
+        io, [&](const NodeSocket::Peer& peer, const std::string&) {
+          server->Reply(peer, std::to_string(life));
+        });
+    (void)server->Bind(address);
+  };
+  start();
+  bool restart = false;
+  NodeSocket client(io, [&](const NodeSocket::Peer&, const std::string& text) {
+    if (text == "2") io.stop();
+    restart = text == "1";
+  });
+  const Repeat repeat(io, [&] {
+    if (restart && life == 1) {
+      server.reset();
+      life = 2;
+      start();
+    }
+    client.Send(address, "hello");
+  });
+  io.run();
+  cr_assert_eq(life, 2);
+}
+
+}  // namespace
+}  // namespace cornelhill
