Homes search for the owner of a flow; balancers send one message

Each balancer asked its two homes, eight balancers and twelve agents for each flow, then all 56: 3,000 seeks a second, 80 to 90 % of which timed out, for eleven seconds, until the flows were reset or given up.

Change: a balancer sends an unknown packet to the first home with the names of all agents; the home asks the owner that it knows, then the twelve likeliest agents, then all, and says "no holder" once all have said no. Agents have four times the processor time and a hundred times the link of a small balancer. The questions between balancers and the list of balancers in updates are gone.

Then: an agent without a report of its upstream answers a search 2.5 heartbeats after its start, and agents that were silent for 3 s (instances taken away with their upstreams) are asked and not waited for; both kept each search from its end for ten seconds more (log lines search_failed, which are new, named them). An agent that learns from its upstream's answer that it holds a flow says so at once: it did so before only when the upstream stayed silent.

Ruled out: an incomplete directory (it is complete 1.5 s after the start).

--- a/include/cornelhill/node/core_daemons.h
+++ b/include/cornelhill/node/core_daemons.h
@@ -43,11 +43,8 @@
     bool balancer = false;
     uint64_t listener_version = 0;
     Millis heard;
-    Endpoint address;  // Of its data socket.
-    std::string failure_domain;
   };
 
-  std::vector<Endpoint> BalancersNear(const Daemon& near) const;
   void PushAgent(Millis now, const AgentRecord& record);
   void SendUpdate(Millis now, std::vector<AgentRecord> records,
                   bool whole_directory, Daemon* daemon);
--- a/include/cornelhill/segment/agent_directory.h
+++ b/include/cornelhill/segment/agent_directory.h
@@ -36,6 +36,7 @@
 
   // Null where the agent is not known. Valid until the next change.
   Entry* Find(const Endpoint& address);
+  const Entry* Find(const Endpoint& address) const;
 
   const std::map<Endpoint, Entry>& Entries() const { return this->entries; }
 
--- a/include/cornelhill/segment/segment_agent.h
+++ b/include/cornelhill/segment/segment_agent.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cornelhill/base/millis.h"
+#include "cornelhill/segment/flow_homes.h"
 #include "cornelhill/segment/segment.h"
 #include "cornelhill/segment/segment_messages.h"
 
@@ -24,6 +25,9 @@
   Millis flow_lifetime{60000};
   // An upstream that has not reported for this long takes no new flows.
   Millis report_timeout{4000};
+  // An upstream that has not reported this long after the agent's start is not
+  // there.
+  Millis first_report_timeout{3000};
 };
 
 // What an upstream says of itself.
@@ -43,10 +47,11 @@
   kFlowReturned = 3,
   kFlowLost = 4,  // Its upstream has started anew; the caller got a reset.
   kMalformed = 5,
+  kSearchFailed = 6,  // Some agents did not say whether they hold a flow.
 };
 
 // Number of `AgentDecisionKind` values.
-constexpr uint32_t kAgentDecisionKindCount = 6;
+constexpr uint32_t kAgentDecisionKindCount = 7;
 
 std::string_view ToString(AgentDecisionKind kind);
 
@@ -58,20 +63,18 @@
   uint32_t busy = 0;
   Millis report_age;
   Endpoint balancer;
+  size_t unanswered = 0;  // Agents, of a failed search.
+  Endpoint agent;         // One of them.
 };
 
 // What an agent wants sent, in order, and what it has decided.
 struct SegmentAgentOutput {
-  struct ToPeer {
-    Endpoint to;
-    SegmentMessage message;
-  };
   struct ToCaller {
     Endpoint caller;
     std::string datagram;
   };
 
-  std::vector<ToPeer> peers;          // Balancers and other agents.
+  std::vector<PeerMessage> peers;     // To balancers and other agents.
   std::vector<std::string> upstream;  // Datagrams.
   std::vector<ToCaller> callers;
   std::vector<AgentDecision> decisions;
@@ -108,11 +111,13 @@
   // Handles a packet that the upstream sent or returned.
   void OnUpstream(Millis now, std::string datagram, SegmentAgentOutput* out);
 
-  // Ends trials and forgets idle flows. Call at least every 20 ms while
-  // `Trying`, otherwise at least once a second.
+  // Ends trials and searches and forgets idle flows. Call at least every 20 ms
+  // while `Waiting`, otherwise at least once a second.
   void Tick(Millis now, SegmentAgentOutput* out);
 
-  bool Trying() const { return !this->trials.empty(); }
+  bool Waiting() const {
+    return !this->trials.empty() || this->homes.Searching();
+  }
 
   // What the agent says of itself; `age` is that of the last report.
   AgentRecord Record(Millis now) const;
@@ -146,20 +151,14 @@
   // whether it holds the flow.
   struct Trial {
     Endpoint balancer;
+    Endpoint home;  // Of a sought packet.
     Millis until;
     bool sought = false;
   };
 
-  // The owner of a flow that has this agent as a home.
-  struct Holder {
-    Endpoint owner;
-    Millis told_at;
-  };
-
-  void OnHolds(Millis now, const Endpoint& from, const SegmentMessage& message);
   void OnSeekAtHome(Millis now, const Endpoint& from, SegmentMessage message,
                     const Segment& segment, SegmentAgentOutput* out);
-  void TellHomes(const SegmentFlow& flow, const std::vector<Endpoint>& homes,
+  void TellHomes(const SegmentFlow& flow, const std::vector<Endpoint>& told,
                  SegmentAgentOutput* out) const;
 
   void OnOffer(Millis now, const Endpoint& from, SegmentMessage message,
@@ -176,6 +175,8 @@
                        std::string datagram, SegmentAgentOutput* out);
   void ReplyNotSought(Millis now, const SegmentFlow& flow, const Endpoint& to,
                       SegmentAgentOutput* out);
+  void ReplyHeld(Millis now, const SegmentFlow& flow, const Endpoint& balancer,
+                 const Endpoint& home, SegmentAgentOutput* out);
   Flow& Adopt(Millis now, const SegmentFlow& flow, SegmentAgentOutput* out);
   void Reply(Millis now, const Endpoint& to, SegmentMessage message,
              SegmentAgentOutput* out);
@@ -197,7 +198,7 @@
   Millis reported_at;
   std::unordered_map<SegmentFlow, Flow> flows;
   std::unordered_map<SegmentFlow, Trial> trials;
-  std::unordered_map<SegmentFlow, Holder> holders;
+  FlowHomes homes;
   // The latest version of each listener that offers stated.
   struct SeenListener {
     uint64_t version = 0;
--- a/include/cornelhill/segment/segment_balancer.h
+++ b/include/cornelhill/segment/segment_balancer.h
@@ -22,7 +22,6 @@
   SegmentFormat format;
   // An entry takes about 120 bytes; 60,000 stay below 8 MB.
   size_t max_flows = 60000;
-  Endpoint address;  // Of this balancer's data socket.
   // Differs between balancers, so that they do not choose the same agent.
   uint64_t seed = 1;
 };
@@ -95,7 +94,7 @@
   // Handles a packet from a caller.
   void OnPacket(Millis now, std::string_view datagram, BalancerOutput* out);
 
-  // Handles a message from the agent, or the other balancer, at `from`.
+  // Handles a message from the agent at `from`.
   void OnAgent(Millis now, const Endpoint& from, SegmentMessage message,
                BalancerOutput* out);
 
@@ -121,21 +120,14 @@
     uint32_t tries = 0;
   };
 
-  // Whom a seek asks, in this order: each stage costs more messages than the
-  // one before.
-  enum class SeekStage : uint8_t { kHomes, kBalancers, kCandidates, kAll };
-
+  // A flow whose owner a home is asked to find.
   struct Seek {
     std::vector<std::string> held;
-    SeekStage stage = SeekStage::kHomes;
-    Millis stage_started;
+    Millis started;       // Since the home was asked.
     bool failed = false;  // Nobody answered; kept so that it is not repeated.
     Millis pause;         // Until the next seek after a failed one.
-    std::optional<Endpoint> except;
-    std::vector<Endpoint> homes;    // Those that were not asked yet.
-    std::set<Endpoint> asked;       // Agents, but for the homes.
-    std::set<Endpoint> unanswered;  // Those that have not said no.
-    std::set<Endpoint> unanswered_balancers;
+    std::vector<Endpoint> homes;  // Those that were not asked yet.
+    bool named_all = false;       // The home knows of every agent.
   };
 
   // What this balancer knows of an agent beyond the directory.
@@ -157,11 +149,11 @@
     Endpoint agent;
     uint32_t load_limit_milli = 0;
   };
-  // The agents of a service that a flow's addresses rank first, in that order:
-  // a pure function of the flow and the directory.
-  std::vector<const AgentDirectory::Entry*> Candidates(ServiceKey service,
-                                                       const SegmentFlow& flow,
-                                                       size_t count) const;
+  // The agents of a service, or of all, that a flow's addresses rank first, in
+  // that order: a pure function of the flow and the directory.
+  std::vector<const AgentDirectory::Entry*> Candidates(
+      std::optional<ServiceKey> service, const SegmentFlow& flow,
+      size_t count) const;
   std::optional<Choice> ChooseAgent(Millis now, const SegmentFlow& flow,
                                     const Listener& listener,
                                     ServiceKey service,
@@ -177,34 +169,26 @@
              uint32_t load_limit_milli, std::string datagram,
              BalancerOutput* out);
   void StartSeek(Millis now, const SegmentFlow& flow, std::string datagram,
-                 std::optional<Endpoint> except, BalancerOutput* out);
+                 BalancerOutput* out);
   void RunSeek(Millis now, const SegmentFlow& flow, std::string datagram,
-               std::optional<Endpoint> except, BalancerOutput* out);
-  // The agents of the flow's service that its addresses rank first. The owner
-  // tells them that it holds the flow.
+               BalancerOutput* out);
+  // The agents that a flow's addresses rank first. The owner tells them that it
+  // holds the flow.
   std::vector<Endpoint> HomesOf(const SegmentFlow& flow) const;
-  // Asks whoever is next and has not been asked.
-  void AdvanceSeek(Millis now, const SegmentFlow& flow, Seek* seek,
-                   BalancerOutput* out);
-  // Returns false where no home is left to ask.
-  bool AskHome(Seek* seek, BalancerOutput* out);
-  // Asks the other balancers of the failure domain: the router has handed the
-  // flow to one of them before. Returns false where there are none.
-  bool AskBalancers(const SegmentFlow& flow, Seek* seek, BalancerOutput* out);
-  void AskCandidates(const SegmentFlow& flow, Seek* seek, BalancerOutput* out);
-  static void AskAgent(const AgentDirectory::Entry& entry, Seek* seek,
-                       BalancerOutput* out);
-  void OnNoHolder(Millis now, const SegmentFlow& flow, BalancerOutput* out);
-  void OnAsk(const Endpoint& from, const SegmentMessage& message,
-             BalancerOutput* out);
-  void OnOwner(Millis now, const Endpoint& from, const SegmentMessage& message,
+  // Whether an agent has said nothing for so long that it may be gone.
+  bool IsSilent(Millis now, const Endpoint& agent) const;
+  // Names the agents that may hold a flow: those that have said nothing lately,
+  // the likely ones, and all others. Returns whether none is left out.
+  bool NameAgents(Millis now, const SegmentFlow& flow,
+                  SegmentMessage* message) const;
+  // Asks the next home to find the owner. Returns false where none is left.
+  bool AskHome(Millis now, const SegmentFlow& flow, Seek* seek,
                BalancerOutput* out);
+  void FailSeek(Millis now, const SegmentFlow& flow, Seek* seek,
+                BalancerOutput* out);
   void DeliverHeld(const Endpoint& owner, size_t first, Seek* seek,
                    BalancerOutput* out);
-  // Whether the seek may ask agents beyond the candidates.
-  bool IsThorough(const Seek& seek) const;
-  bool IsLastStage(const Seek& seek) const;
-  Millis TimeoutOf(const Seek& seek) const;
+  void OnNoHolder(Millis now, const SegmentFlow& flow, BalancerOutput* out);
   void EndSeek(Millis now, Seek* seek);
   void Reset(const SegmentFlow& flow, BalancerEvent event, BalancerOutput* out);
   void OnRefused(Millis now, const Endpoint& from, SegmentMessage message,
@@ -212,8 +196,6 @@
   void OnNotHeld(Millis now, const Endpoint& from, SegmentMessage message,
                  BalancerOutput* out);
   void TickSeeks(Millis now, BalancerOutput* out);
-  void OnSoughtInVain(Millis now, const Endpoint& from,
-                      const SegmentMessage& message, BalancerOutput* out);
   void OnHeld(Millis now, const Endpoint& from, const SegmentMessage& message,
               BalancerOutput* out);
   void LearnLoad(Millis now, const Endpoint& from,
@@ -222,8 +204,7 @@
   SegmentBalancerSettings settings;
   ListenerTable listeners;
   AgentDirectory agents;
-  Millis agents_complete_until;     // Until then no living agent is missing.
-  std::vector<Endpoint> balancers;  // Others in the same failure domain.
+  Millis agents_complete_until;  // Until then no living agent is missing.
   std::map<Endpoint, Standing> standings;
   std::unordered_map<SegmentFlow, Flow> flows;
   std::unordered_map<SegmentFlow, Seek> seeks;
--- a/include/cornelhill/segment/segment_messages.h
+++ b/include/cornelhill/segment/segment_messages.h
@@ -54,15 +54,13 @@
   kNotHeld = 6,  // The flow of a delivered packet is not known; holds it.
                  // Without a packet: that of a sought one.
   kHeld = 7,     // The flow of a sought packet is held here.
-  // Balancer to balancer in one failure domain.
-  kAsk = 8,    // Who owns the flow?
-  kOwner = 9,  // The owner, or none where the sender does not know.
   // Balancer to a home of the flow: a packet for its owner, which the receiver
-  // may know. It passes the packet on as `kSeek`.
-  kSeekAtHome = 10,
-  // Agent to the homes of the flow: the sender holds it.
-  kHolds = 11,
-  kNoHolder = 12,  // Home to balancer: it does not know who holds the flow.
+  // finds. It passes the packet on as `kSeek`.
+  kSeekAtHome = 8,
+  kHolds = 9,  // Agent to the homes of the flow: the sender holds it.
+  // Home to balancer: every agent that the balancer named has said that it does
+  // not hold the flow.
+  kNoHolder = 10,
 };
 
 // A message between a balancer and an agent. Fields that a kind does not name
@@ -75,10 +73,14 @@
   uint64_t listener_shares = 0;   // Offer: hash of the listener's shares.
   uint32_t tries = 0;             // Offer and refusal: offers made before.
   OfferRefusal refusal = OfferRefusal::kNone;
-  SegmentFlow flow;             // Held, load, not held, ask, owner and holds.
-  Endpoint owner;               // Owner: data address of the agent.
-  std::vector<Endpoint> homes;  // Offer: agents that keep the owner's address.
-  Endpoint asker;  // Seek that a home passes on: the balancer to reply to.
+  SegmentFlow flow;  // Held, load, not held, holds and no holder.
+  // Offer: the homes, which keep the address of the flow's owner. Seek at home:
+  // agents that may hold the flow, the likely ones first.
+  std::vector<Endpoint> agents;
+  // Seek at home: so many of `agents`, at the front, have said nothing lately
+  // and need not answer.
+  uint32_t silent_agents = 0;
+  Endpoint asker;  // Seek: the balancer that the home asks for.
   // From an agent: busy flows per slot times 1000. Offer: an agent with more is
   // a worse choice than the balancer's next one.
   uint32_t load_milli = 0;
@@ -118,8 +120,6 @@
   ListenerDelta listeners;  // `to` is 0 where there is none.
   std::vector<AgentRecord> agents;
   std::vector<std::string> members;  // Addresses of the core members.
-  // Data addresses of the balancers in the receiver's failure domain.
-  std::vector<Endpoint> balancers;
   // `agents` are all that live: the sender has run long enough to have heard of
   // each.
   bool complete = false;
@@ -153,6 +153,15 @@
 using NodeMessage = std::variant<Hello, Update, CoreJoin, CoreJoinReply,
                                  CoreConsensus, CoreHandOver>;
 
+// A message and where it goes.
+struct PeerMessage {
+  Endpoint to;
+  SegmentMessage message;
+};
+
+// Agents that one message may name.
+constexpr size_t kMaxNamedAgents = 200;
+
 // Encoders never fail. Decoders fail with `kMalformed`, `kTooLarge` or
 // `kUnsupportedVersion`. All are thread-safe.
 std::string Encode(SegmentMessage message);
--- a/src/node/core_daemons.cc
+++ b/src/node/core_daemons.cc
@@ -21,8 +21,7 @@
 void CoreDaemons::OnHello(Millis now, const NodeSocket::Peer& peer,
                           const Hello& hello) {
   Daemon& daemon = this->daemons[peer.routing_id];
-  daemon = {peer, hello.balancer, hello.listener_version,
-            now,  hello.address,  hello.failure_domain};
+  daemon = {peer, hello.balancer, hello.listener_version, now};
   if (!hello.agent.empty()) {
     const bool changed = this->agents.Merge(now, hello.agent.front());
     if (changed) this->PushAgent(now, hello.agent.front());
@@ -50,16 +49,6 @@
   });
 }
 
-std::vector<Endpoint> CoreDaemons::BalancersNear(const Daemon& near) const {
-  std::vector<Endpoint> out;
-  for (const auto& [id, daemon] : this->daemons) {
-    if (daemon.balancer && daemon.failure_domain == near.failure_domain) {
-      out.push_back(daemon.address);
-    }
-  }
-  return out;
-}
-
 void CoreDaemons::PushAgent(Millis now, const AgentRecord& record) {
   LogLine("agent_changed")
       .Add("agent", ToString(record.address))
@@ -76,7 +65,6 @@
   update.agents = std::move(records);
   update.members = this->handlers.members();
   update.complete = whole_directory && now - this->started > kDirectorySettles;
-  if (whole_directory) update.balancers = this->BalancersNear(*daemon);
   if (daemon->balancer &&
       daemon->listener_version < this->listeners.Version()) {
     update.listeners = this->listeners.DeltaSince(daemon->listener_version);
--- a/src/node/entry_role.cc
+++ b/src/node/entry_role.cc
@@ -34,7 +34,6 @@
   out.failure_domain = settings.failure_domain;
   out.format = formats.segment;
   out.seed = RandomSeed();
-  out.address = settings.DataAddress();
   return out;
 }
 
--- a/src/node/sidecar_role.cc
+++ b/src/node/sidecar_role.cc
@@ -24,6 +24,9 @@
 constexpr Millis kDrainPeriod{400};
 // An upstream that has missed three heartbeats and a half is not offered work.
 constexpr int64_t kMissedHeartbeatsTenths = 35;
+// An upstream that lives reports within a heartbeat of its agent's start, or
+// within the next one.
+constexpr int64_t kFirstHeartbeatsTenths = 25;
 constexpr Millis kCountersPeriod{10000};
 
 SegmentAgentSettings AgentSettings(const NodeSettings& settings,
@@ -36,6 +39,8 @@
   out.flow_lifetime = settings.flow_lifetime;
   out.report_timeout =
       Millis(settings.heartbeat.Count() * kMissedHeartbeatsTenths / 10);
+  out.first_report_timeout =
+      Millis(settings.heartbeat.Count() * kFirstHeartbeatsTenths / 10);
   return out;
 }
 
@@ -193,7 +198,7 @@
       this->data.Queue({send.caller.address, this->settings.packets->port},
                        std::move(send.datagram));
     }
-    for (SegmentAgentOutput::ToPeer& send : out.peers) {
+    for (PeerMessage& send : out.peers) {
       this->data.Queue(send.to, Encode(std::move(send.message)));
     }
     for (const AgentDecision& decision : out.decisions) this->Log(decision);
@@ -203,7 +208,7 @@
     for (const Millis time : out.answers) {
       this->metrics.ObserveTime("cornelhill_node_answer_seconds", time);
     }
-    if (this->agent.Trying()) this->ArmTrialTimer();
+    if (this->agent.Waiting()) this->ArmTrialTimer();
   }
 
   void SetGauges() {
@@ -227,6 +232,12 @@
     if (decision.refusal != OfferRefusal::kNone) {
       line.Add("refusal", ToString(decision.refusal));
     }
+    if (decision.kind == AgentDecisionKind::kSearchFailed) {
+      line.Add("balancer", ToString(decision.balancer))
+          .Add("unanswered", decision.unanswered)
+          .Add("agent", ToString(decision.agent));
+      return;
+    }
     line.Add("state", ToString(decision.state))
         .Add("busy", decision.busy)
         .Add("report_age_ms", decision.report_age.Count());
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -27,8 +27,6 @@
 constexpr Millis kSweepPeriod{1000};
 // Requests of the sites run for at most 180 ms and time out after 5 s.
 constexpr Millis kBusyLifetime{5000};
-// Flows with this agent as a home; an entry takes about 60 bytes.
-constexpr size_t kMaxHolders = 50000;
 // The first report of an upstream states sequence 0 or 1.
 constexpr uint64_t kFirstReportSequence = 1;
 
@@ -41,7 +39,8 @@
 std::string_view ToString(AgentDecisionKind kind) {
   static constexpr std::array<std::string_view, kAgentDecisionKindCount>
       kNames = {"flow_accepted", "offer_refused", "flow_adopted",
-                "flow_returned", "flow_lost",     "malformed"};
+                "flow_returned", "flow_lost",     "malformed",
+                "search_failed"};
   return kNames.at(static_cast<size_t>(kind));
 }
 
@@ -120,7 +119,11 @@
 void SegmentAgent::OnPeer(Millis now, const Endpoint& from,
                           SegmentMessage message, SegmentAgentOutput* out) {
   if (message.kind == SegmentMessageKind::kHolds) {
-    this->OnHolds(now, from, message);
+    this->homes.OnHolds(now, message.flow, from);
+    return;
+  }
+  if (message.kind == SegmentMessageKind::kNotHeld) {
+    this->homes.OnNotHeld(now, from, message.flow, &out->peers);
     return;
   }
   const Result<Segment> read = this->settings.format.read(message.datagram);
@@ -135,18 +138,8 @@
     this->OnSeekAtHome(now, from, std::move(message), segment, out);
   } else if (message.kind == SegmentMessageKind::kDeliver ||
              message.kind == SegmentMessageKind::kSeek) {
-    const Endpoint asker = message.asker == Endpoint() ? from : message.asker;
-    this->OnPacketOfFlow(now, asker, std::move(message), segment, out);
-  }
-}
-
-void SegmentAgent::OnHolds(Millis now, const Endpoint& from,
-                           const SegmentMessage& message) {
-  if (this->holders.size() >= kMaxHolders &&
-      !this->holders.contains(message.flow)) {
-    this->holders.erase(this->holders.begin());
+    this->OnPacketOfFlow(now, from, std::move(message), segment, out);
   }
-  this->holders[message.flow] = {from, now};
 }
 
 void SegmentAgent::OnSeekAtHome(Millis now, const Endpoint& from,
@@ -154,27 +147,20 @@
                                 SegmentAgentOutput* out) {
   const SegmentFlow flow{segment.source, segment.destination};
   const auto known = this->flows.find(flow);
-  message.kind = SegmentMessageKind::kSeek;
   if (known != this->flows.end() && !known->second.declined) {
-    this->OnPacketOfFlow(now, from, std::move(message), segment, out);
+    message.kind = SegmentMessageKind::kSeek;
+    message.asker = from;
+    this->OnPacketOfFlow(now, this->settings.address, std::move(message),
+                         segment, out);
     return;
   }
-  const auto holder = this->holders.find(flow);
-  if (holder == this->holders.end()) {
-    SegmentMessage reply;
-    reply.kind = SegmentMessageKind::kNoHolder;
-    reply.flow = flow;
-    this->Reply(now, from, std::move(reply), out);
-    return;
-  }
-  message.asker = from;
-  out->peers.push_back({holder->second.owner, std::move(message)});
+  this->homes.OnSeek(now, from, std::move(message), flow, &out->peers);
 }
 
 void SegmentAgent::TellHomes(const SegmentFlow& flow,
-                             const std::vector<Endpoint>& homes,
+                             const std::vector<Endpoint>& told,
                              SegmentAgentOutput* out) const {
-  for (const Endpoint& home : homes) {
+  for (const Endpoint& home : told) {
     if (home == this->settings.address) continue;
     SegmentMessage holds;
     holds.kind = SegmentMessageKind::kHolds;
@@ -230,7 +216,7 @@
     ++this->opening;
     ++this->open_flows;
     out->decisions.push_back(decision);
-    this->TellHomes(flow, message.homes, out);
+    this->TellHomes(flow, message.agents, out);
   }
   Flow& state = this->flows[flow];
   state.balancer = from;
@@ -280,14 +266,10 @@
   const bool sought = message.kind == SegmentMessageKind::kSeek;
   if (found != this->flows.end() && !found->second.declined) {
     Flow& state = found->second;
-    state.balancer = from;
+    state.balancer = sought ? message.asker : from;
     this->NoteCallerPacket(now, segment, &state);
     out->upstream.push_back(std::move(message.datagram));
-    if (!sought) return;
-    SegmentMessage held;
-    held.kind = SegmentMessageKind::kHeld;
-    held.flow = flow;
-    this->Reply(now, from, std::move(held), out);
+    if (sought) this->ReplyHeld(now, flow, state.balancer, from, out);
     return;
   }
   if (found == this->flows.end() && this->Recovering(now)) {
@@ -295,7 +277,9 @@
     return;
   }
   if (sought) {
-    if (this->report.has_value()) {
+    const Millis running = now - this->started;
+    if (this->report.has_value() ||
+        running > this->settings.first_report_timeout) {
       this->ReplyNotSought(now, flow, from, out);
     }
     return;
@@ -304,8 +288,8 @@
   this->Reply(now, from, std::move(message), out);
 }
 
-// A search that no agent answers otherwise ends with a reset, so an agent that
-// cannot know says nothing.
+// A search that every agent answers so ends with a reset: an agent that cannot
+// know says nothing.
 void SegmentAgent::ReplyNotSought(Millis now, const SegmentFlow& flow,
                                   const Endpoint& to, SegmentAgentOutput* out) {
   SegmentMessage message;
@@ -314,13 +298,24 @@
   this->Reply(now, to, std::move(message), out);
 }
 
+void SegmentAgent::ReplyHeld(Millis now, const SegmentFlow& flow,
+                             const Endpoint& balancer, const Endpoint& home,
+                             SegmentAgentOutput* out) {
+  SegmentMessage held;
+  held.kind = SegmentMessageKind::kHeld;
+  held.flow = flow;
+  this->Reply(now, balancer, std::move(held), out);
+  this->TellHomes(flow, {home}, out);
+}
+
 void SegmentAgent::Try(Millis now, const SegmentFlow& flow,
                        const Endpoint& from, SegmentMessage message,
                        SegmentAgentOutput* out) {
   const bool sought = message.kind == SegmentMessageKind::kSeek;
   const auto [found, added] = this->trials.try_emplace(flow);
   if (!added) return;  // The sender repeats the packet.
-  found->second = {from, now + kTrialPeriod, sought};
+  found->second = {sought ? message.asker : from, from, now + kTrialPeriod,
+                   sought};
   out->upstream.push_back(std::move(message.datagram));
 }
 
@@ -356,7 +351,6 @@
 
 SegmentAgent::Flow& SegmentAgent::Adopt(Millis now, const SegmentFlow& flow,
                                         SegmentAgentOutput* out) {
-  this->trials.erase(flow);
   Flow& state = this->flows[flow];
   state.accepted = true;
   state.opened = true;
@@ -368,6 +362,14 @@
   AgentDecision decision{AgentDecisionKind::kFlowAdopted, flow};
   decision.state = this->State(now);
   out->decisions.push_back(decision);
+  const auto trial = this->trials.find(flow);
+  if (trial == this->trials.end()) return state;
+  const Trial ended = trial->second;
+  this->trials.erase(trial);
+  state.balancer = ended.balancer;
+  if (ended.sought) {
+    this->ReplyHeld(now, flow, ended.balancer, ended.home, out);
+  }
   return state;
 }
 
@@ -381,17 +383,16 @@
   }
   const auto trial = this->trials.find(flow);
   if (trial != this->trials.end()) {
-    const Endpoint balancer = trial->second.balancer;
-    const bool sought = trial->second.sought;
+    const Trial ended = trial->second;
     this->trials.erase(trial);
-    if (sought) {
-      this->ReplyNotSought(now, flow, balancer, out);
+    if (ended.sought) {
+      this->ReplyNotSought(now, flow, ended.home, out);
       return;
     }
     SegmentMessage message;
     message.kind = SegmentMessageKind::kNotHeld;
     message.datagram = std::move(datagram);
-    this->Reply(now, balancer, std::move(message), out);
+    this->Reply(now, ended.balancer, std::move(message), out);
     return;
   }
   const auto found = this->flows.find(flow);
@@ -490,14 +491,13 @@
   for (const auto& [flow, trial] : this->trials) {
     if (now >= trial.until) kept.push_back(flow);
   }
-  for (const SegmentFlow& flow : kept) {
-    const Trial trial = this->trials.at(flow);
-    Flow& state = this->Adopt(now, flow, out);
-    state.balancer = trial.balancer;
-    SegmentMessage held;
-    held.kind = SegmentMessageKind::kHeld;
-    held.flow = flow;
-    this->Reply(now, trial.balancer, std::move(held), out);
+  for (const SegmentFlow& flow : kept) this->Adopt(now, flow, out);
+  for (const auto& failed : this->homes.Tick(now, &out->peers)) {
+    AgentDecision decision{AgentDecisionKind::kSearchFailed, failed.flow};
+    decision.balancer = failed.balancer;
+    decision.unanswered = failed.unanswered;
+    decision.agent = failed.agent;
+    out->decisions.push_back(decision);
   }
   if (now < this->next_sweep) return;
   this->next_sweep = now + kSweepPeriod;
@@ -516,9 +516,7 @@
     }
   }
   for (const SegmentFlow& flow : gone) this->Forget(flow);
-  std::erase_if(this->holders, [this, now](const auto& item) {
-    return now - item.second.told_at > this->settings.flow_lifetime;
-  });
+  this->homes.Expire(now, this->settings.flow_lifetime);
   this->open_flows = static_cast<size_t>(
       std::count_if(this->flows.begin(), this->flows.end(),
                     [now](const auto& f) { return IsOpen(f.second, now); }));
--- a/src/segment/segment_balancer.cc
+++ b/src/segment/segment_balancer.cc
@@ -60,8 +60,6 @@
 bool SegmentBalancer::OnUpdate(Millis now, const Update& update) {
   if (update.complete) {
     this->agents_complete_until = now + kCompleteFor;
-    this->balancers = update.balancers;
-    std::erase(this->balancers, this->settings.address);
   }
   for (const AgentRecord& record : update.agents) {
     if (this->agents.Merge(now, record) &&
@@ -103,7 +101,7 @@
     out->agents.push_back({found->second.owner, std::move(message)});
     return;
   }
-  this->StartSeek(now, flow, std::string(datagram), std::nullopt, out);
+  this->StartSeek(now, flow, std::string(datagram), out);
 }
 
 void SegmentBalancer::OnFirstPacket(Millis now, const SegmentFlow& flow,
@@ -227,7 +225,7 @@
   }
   message.tries = state.tries;
   message.load_milli = load_limit_milli;
-  message.homes = this->HomesOf(flow);
+  message.agents = this->HomesOf(flow);
   Standing& standing = this->standings[state.owner];
   ++standing.unanswered_offers;
   standing.last_offer = now;
@@ -246,11 +244,12 @@
 }
 
 std::vector<const AgentDirectory::Entry*> SegmentBalancer::Candidates(
-    ServiceKey service, const SegmentFlow& flow, size_t count) const {
+    std::optional<ServiceKey> service, const SegmentFlow& flow,
+    size_t count) const {
   const uint64_t flow_hash = std::hash<SegmentFlow>()(flow);
   std::vector<std::pair<uint64_t, const AgentDirectory::Entry*>> ranked;
   for (const auto& [address, entry] : this->agents.Entries()) {
-    if (entry.record.service != service) continue;
+    if (service.has_value() && entry.record.service != *service) continue;
     if (entry.record.state == UpstreamState::kGone) continue;
     const uint64_t agent_hash = HashCombine(address.address, address.port);
     ranked.emplace_back(HashCombine(flow_hash, agent_hash), &entry);
@@ -274,11 +273,7 @@
       this->OnRefused(now, from, std::move(message), out);
       break;
     case SegmentMessageKind::kNotHeld:
-      if (message.datagram.empty()) {
-        this->OnSoughtInVain(now, from, message, out);
-      } else {
-        this->OnNotHeld(now, from, std::move(message), out);
-      }
+      this->OnNotHeld(now, from, std::move(message), out);
       break;
     case SegmentMessageKind::kHeld:
       this->OnHeld(now, from, message, out);
@@ -286,12 +281,6 @@
     case SegmentMessageKind::kNoHolder:
       this->OnNoHolder(now, message.flow, out);
       break;
-    case SegmentMessageKind::kAsk:
-      this->OnAsk(from, message, out);
-      break;
-    case SegmentMessageKind::kOwner:
-      this->OnOwner(now, from, message, out);
-      break;
     case SegmentMessageKind::kLoad:
     case SegmentMessageKind::kOffer:
     case SegmentMessageKind::kDeliver:
--- a/src/segment/segment_messages.cc
+++ b/src/segment/segment_messages.cc
@@ -12,7 +12,6 @@
 constexpr uint32_t kNodeProtocolVersion = 1;
 // A packet of 1,232 bytes with room for the other fields.
 constexpr size_t kMaxSegmentMessageBytes = 4096;
-constexpr int kMaxHomes = 8;
 // A whole listener table of 512 KiB and a directory.
 constexpr size_t kMaxNodeMessageBytes = size_t{4} << 20;
 
@@ -155,9 +154,6 @@
     }
     for (const std::string& member : in.members) body->add_members(member);
     body->set_complete(in.complete);
-    for (const Endpoint& balancer : in.balancers) {
-      body->add_balancers(ToString(balancer));
-    }
   }
   void operator()(const CoreJoin& in) const {
     pb::CoreJoin* body = this->out->mutable_join();
@@ -208,10 +204,6 @@
   out.agents = std::move(agents);
   out.members = {in.members().begin(), in.members().end()};
   out.complete = in.complete();
-  for (const std::string& text : in.balancers()) {
-    BOOST_OUTCOME_TRY(balancer, ParseEndpoint(text));
-    out.balancers.push_back(balancer);
-  }
   return NodeMessage(std::move(out));
 }
 
@@ -247,9 +239,8 @@
   out.set_load_milli(message.load_milli);
   out.set_open_flows(message.open_flows);
   out.set_state(static_cast<uint32_t>(message.state));
-  out.set_owner_address(message.owner.address);
-  out.set_owner_port(message.owner.port);
-  for (const Endpoint& home : message.homes) out.add_homes(Pack(home));
+  for (const Endpoint& agent : message.agents) out.add_agents(Pack(agent));
+  out.set_silent_agents(message.silent_agents);
   if (message.asker != Endpoint()) out.set_asker(Pack(message.asker));
   return out.SerializeAsString();
 }
@@ -266,15 +257,19 @@
                     ReadEndpoint(in.caller_address(), in.caller_port()));
   BOOST_OUTCOME_TRY(listener,
                     ReadEndpoint(in.service_address(), in.service_port()));
-  BOOST_OUTCOME_TRY(owner, ReadEndpoint(in.owner_address(), in.owner_port()));
-  if (in.homes_size() > kMaxHomes) return Malformed("too many homes");
-  for (const uint64_t home : in.homes()) {
-    BOOST_OUTCOME_TRY(address, Unpack(home));
-    out.homes.push_back(address);
+  if (static_cast<size_t>(in.agents_size()) > kMaxNamedAgents) {
+    return Malformed("too many agents");
+  }
+  for (const uint64_t agent : in.agents()) {
+    BOOST_OUTCOME_TRY(address, Unpack(agent));
+    out.agents.push_back(address);
+  }
+  if (in.silent_agents() > out.agents.size()) {
+    return Malformed("more silent agents than agents");
   }
+  out.silent_agents = in.silent_agents();
   BOOST_OUTCOME_TRY(asker, Unpack(in.asker()));
   out.asker = asker;
-  out.owner = owner;
   out.kind = static_cast<SegmentMessageKind>(in.kind());
   out.datagram = std::move(*in.mutable_datagram());
   out.service = ServiceKey(in.service());
