--- a/src/consensus/consensus_codec.cc
+++ b/src/consensus/consensus_codec.cc
@@ -4,6 +4,7 @@
 
 #include "consensus.pb.h"
 #include "cornelhill/wire/data_codec.h"
+#include "wire/parse_message.h"
 
 namespace cornelhill {
 
@@ -158,21 +159,6 @@
   body->set_next_offset(in.next_offset);
 }
 
-template <typename Message>
-Result<void> Parse(std::string_view bytes, Message* message) {
-  if (bytes.size() > kMaxConsensusMessageBytes) {
-    return Error{ErrorCode::kTooLarge,
-                 "message of " + std::to_string(bytes.size()) +
-                     " bytes is larger than " +
-                     std::to_string(kMaxConsensusMessageBytes)};
-  }
-  if (!message->ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-    return Malformed("message of " + std::to_string(bytes.size()) +
-                     " bytes does not parse");
-  }
-  return boost::outcome_v2::success();
-}
-
 }  // namespace
 
 std::string Encode(const ConsensusMessage& message) {
@@ -199,12 +185,8 @@
 
 Result<ConsensusMessage> DecodeConsensusMessage(std::string_view bytes) {
   pb::ConsensusMessage in;
-  BOOST_OUTCOME_TRY(Parse(bytes, &in));
-  if (in.version() != kProtocolVersion) {
-    return Error{ErrorCode::kUnsupportedVersion,
-                 "protocol version " + std::to_string(in.version()) +
-                     " is not " + std::to_string(kProtocolVersion)};
-  }
+  BOOST_OUTCOME_TRY(
+      ParseVersioned(bytes, kMaxConsensusMessageBytes, kProtocolVersion, &in));
   ConsensusMessage out;
   out.from = MemberId(in.from());
   out.to = MemberId(in.to());
@@ -252,13 +234,13 @@
 
 Result<Membership> DecodeMembership(std::string_view bytes) {
   pb::ConsensusMembership in;
-  BOOST_OUTCOME_TRY(Parse(bytes, &in));
+  BOOST_OUTCOME_TRY(ParseMessage(bytes, kMaxConsensusMessageBytes, &in));
   return FromProto(in);
 }
 
 Result<SnapshotMeta> DecodeSnapshotMeta(std::string_view bytes) {
   pb::ConsensusSnapshotMeta in;
-  BOOST_OUTCOME_TRY(Parse(bytes, &in));
+  BOOST_OUTCOME_TRY(ParseMessage(bytes, kMaxConsensusMessageBytes, &in));
   return FromProto(in);
 }
 
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cassert>
 
-#include "cornelhill/base/hash.h"
 #include "cornelhill/consensus/consensus_codec.h"
 
 namespace cornelhill {
@@ -114,127 +113,11 @@
   this->ResetElectionTimer(now);
 }
 
-// Roles.
-
-void Replica::ResetElectionTimer(Millis now) {
-  const bool starting =
-      !this->heard_leader && this->settings.startup_timeout > Millis(0);
-  const int64_t timeout = (starting ? this->settings.startup_timeout
-                                    : this->settings.election_timeout)
-                              .Count();
-  this->election_deadline =
-      now + Millis(timeout + static_cast<int64_t>(this->random.Below(
-                                 static_cast<uint64_t>(timeout))));
-}
-
-void Replica::LeaderStops(Millis now, MemberId stopping) {
-  if (this->role != ReplicaRole::kFollower || this->leader != stopping) return;
-  this->leader = MemberId();
-  this->heard_leader = false;
-  this->ResetElectionTimer(now);
-  this->ReportRole();
-}
-
 void Replica::ReportRole() {
   this->output.role_changes.push_back(
       {this->role, this->hard_state.term, this->leader});
 }
 
-bool Replica::LeaderIsAlive(Millis now) const {
-  return this->role == ReplicaRole::kLeader ||
-         (this->leader != MemberId() &&
-          now - this->leader_heard < this->settings.election_timeout);
-}
-
-void Replica::BecomeFollower(Millis now, Term term, MemberId leader) {
-  if (this->role == ReplicaRole::kLeader) {
-    this->FailReads();
-    this->progress.clear();
-    this->ResetElectionTimer(now);
-  }
-  if (term > this->hard_state.term) {
-    this->hard_state = {term, MemberId()};
-    this->SaveHardState();
-    this->matched = 0;
-    this->reply_when_synced = false;
-  }
-  this->role = ReplicaRole::kFollower;
-  this->leader = leader;
-  this->votes.clear();
-  this->ReportRole();
-}
-
-void Replica::BecomePreCandidate(Millis now) {
-  this->role = ReplicaRole::kPreCandidate;
-  this->leader = MemberId();
-  this->ResetElectionTimer(now);
-  this->votes = {{this->self, true}};
-  this->ReportRole();
-  const Term next(this->hard_state.term.Value() + 1);
-  for (const Member& member : this->CurrentMembership().members) {
-    if (!member.voter || member.id == this->self) continue;
-    this->Send(member.id, next,
-               VoteRequest{true, this->log.LastIndex(), this->log.LastTerm(),
-                           member.caught_up_index});
-  }
-  this->CountVotes(now);
-}
-
-void Replica::BecomeCandidate(Millis now) {
-  this->role = ReplicaRole::kCandidate;
-  this->hard_state = {Term(this->hard_state.term.Value() + 1), this->self};
-  this->SaveHardState();
-  this->matched = 0;
-  this->reply_when_synced = false;
-  this->ResetElectionTimer(now);
-  // The own vote counts once it is durable, see `Persisted`.
-  this->votes.clear();
-  this->ReportRole();
-  for (const Member& member : this->CurrentMembership().members) {
-    if (!member.voter || member.id == this->self) continue;
-    this->SendWhenPersisted(
-        member.id, this->hard_state.term,
-        VoteRequest{false, this->log.LastIndex(), this->log.LastTerm(),
-                    member.caught_up_index});
-  }
-}
-
-void Replica::CountVotes(Millis now) {
-  size_t granted = 0;
-  for (const auto& [member, vote] : this->votes) {
-    if (vote && IsVoter(this->CurrentMembership(), member)) ++granted;
-  }
-  if (granted < QuorumSize(this->CurrentMembership())) return;
-  if (this->role == ReplicaRole::kPreCandidate) {
-    this->BecomeCandidate(now);
-  } else if (this->role == ReplicaRole::kCandidate) {
-    this->BecomeLeader(now);
-  }
-}
-
-void Replica::BecomeLeader(Millis now) {
-  this->role = ReplicaRole::kLeader;
-  this->leader = this->self;
-  this->heard_leader = true;
-  this->votes.clear();
-  this->progress.clear();
-  this->round = 0;
-  this->recent_commit = this->commit;
-  this->older_commit = this->commit;
-  this->next_heartbeat = now;
-  this->next_commit_sample = now + this->settings.election_timeout;
-  this->uncommitted_bytes = 0;
-  for (LogIndex index = this->commit + 1; index <= this->log.LastIndex();
-       ++index) {
-    this->uncommitted_bytes += EntryBytes(this->log.At(index));
-  }
-  this->UpdateProgressMembers(now);
-  this->ReportRole();
-  this->first_own_index = this->AppendOwn(EntryKind::kNoop, {}).index;
-}
-
-// Inputs.
-
 void Replica::Tick(Millis now) {
   if (this->halted) return;
   if (this->role == ReplicaRole::kLeader) {
@@ -365,6 +248,53 @@
   return id;
 }
 
+Result<Membership> Replica::CheckChange(Millis now,
+                                        const MembershipChange& change) const {
+  if (this->halted || this->role != ReplicaRole::kLeader) {
+    return NotLeader(this->leader);
+  }
+  // Before that, an earlier leader's change may still be in flight unseen.
+  if (!this->OwnTermCommitted()) {
+    return Error{ErrorCode::kUnavailable,
+                 "the leader has not committed an entry of its term yet"};
+  }
+  if (this->memberships.back().first > this->commit) {
+    return Error{ErrorCode::kConflict,
+                 "the membership change at index " +
+                     std::to_string(this->memberships.back().first) +
+                     " is still in flight"};
+  }
+  const std::set<MemberId> working = this->Working(now);
+  LogIndex caught_up_index = 0;
+  if (const auto* promote = std::get_if<PromoteLearner>(&change)) {
+    const auto found = this->progress.find(promote->id);
+    if (found != this->progress.end()) {
+      if (!working.contains(promote->id)) {
+        return Error{ErrorCode::kUnavailable,
+                     "member " + std::to_string(promote->id.Value()) +
+                         " has synced index " +
+                         std::to_string(found->second.match) + " of " +
+                         std::to_string(this->commit) +
+                         " and is not caught up"};
+      }
+      caught_up_index = std::min(found->second.match, this->commit);
+    }
+  }
+  BOOST_OUTCOME_TRY(
+      next, ApplyChange(this->CurrentMembership(), change, caught_up_index));
+  const int tolerated = FaultsTolerated(next, working);
+  if (tolerated < 0) {
+    return Error{
+        ErrorCode::kUnavailable,
+        "after this change only " +
+            std::to_string(static_cast<int>(QuorumSize(next)) + tolerated) +
+            " of " + std::to_string(VoterCount(next)) +
+            " voters would work; a quorum needs " +
+            std::to_string(QuorumSize(next))};
+  }
+  return next;
+}
+
 Result<int> Replica::FaultsToleratedAfter(
     Millis now, const MembershipChange& change) const {
   BOOST_OUTCOME_TRY(next, this->CheckChange(now, change));
@@ -397,26 +327,6 @@
   }
 }
 
-void Replica::SnapshotSaved(Millis /*now*/, const SnapshotMeta& meta) {
-  this->snapshot_requested = false;
-  if (this->halted || this->installing || meta.index <= this->snapshot.index ||
-      meta.index > this->applied) {
-    return;
-  }
-  this->snapshot = meta;
-  this->applied_bytes = 0;
-  this->applied_entries = this->applied - meta.index;
-  this->Writable()->discard_through = meta.index;
-  while (this->memberships.size() > 1 &&
-         this->memberships[1].first <= meta.index) {
-    this->memberships.erase(this->memberships.begin());
-  }
-  if (meta.index > this->settings.keep_entries) {
-    const LogIndex base = meta.index - this->settings.keep_entries;
-    if (base > this->log.BaseIndex()) this->log.Discard(base);
-  }
-}
-
 ReplicaOutput Replica::Take(Millis now) {
   if (!this->halted) {
     if (this->role == ReplicaRole::kLeader) {
@@ -477,8 +387,6 @@
   return status;
 }
 
-// Messages.
-
 void Replica::Send(MemberId to, Term term,
                    decltype(ConsensusMessage::body) body) {
   this->output.messages.push_back({this->self, to, term, std::move(body)});
@@ -495,462 +403,6 @@
   this->held.push_back({ticket, {this->self, to, term, std::move(body)}});
 }
 
-void Replica::Reply(MemberId to, AppendReply reply) {
-  if (this->durable_state.term == this->hard_state.term) {
-    this->Send(to, this->hard_state.term, reply);
-  } else {
-    this->SendWhenPersisted(to, this->hard_state.term, reply);
-  }
-}
-
-void Replica::ReplyMatched(MemberId to, LogIndex previous, uint64_t round) {
-  this->Reply(to, AppendReply{true, previous,
-                              std::min(this->matched, this->synced), 0, round});
-}
-
-void Replica::OnVoteRequest(Millis now, MemberId from, Term term,
-                            const VoteRequest& request) {
-  const bool complete = request.last_term > this->log.LastTerm() ||
-                        (request.last_term == this->log.LastTerm() &&
-                         request.last_index >= this->log.LastIndex());
-  if (request.pre_vote) {
-    const bool granted = complete && term > this->hard_state.term;
-    this->Send(from, granted ? term : this->hard_state.term,
-               VoteReply{true, granted});
-    return;
-  }
-  const bool free =
-      this->hard_state.vote == MemberId() || this->hard_state.vote == from;
-  if (!complete || !free || this->role != ReplicaRole::kFollower) {
-    this->Send(from, this->hard_state.term, VoteReply{false, false});
-    return;
-  }
-  if (this->hard_state.vote != from) {
-    this->hard_state.vote = from;
-    this->SaveHardState();
-  }
-  this->ResetElectionTimer(now);
-  this->SendWhenPersisted(from, this->hard_state.term, VoteReply{false, true});
-}
-
-void Replica::OnVoteReply(Millis now, MemberId from, Term term,
-                          const VoteReply& reply) {
-  if (reply.pre_vote) {
-    if (this->role != ReplicaRole::kPreCandidate) return;
-    if (reply.granted && term.Value() != this->hard_state.term.Value() + 1) {
-      return;
-    }
-  } else if (this->role != ReplicaRole::kCandidate) {
-    return;
-  }
-  this->votes[from] = reply.granted;
-  this->CountVotes(now);
-}
-
-void Replica::FollowLeader(Millis now, MemberId from) {
-  if (this->role != ReplicaRole::kFollower || this->leader != from) {
-    this->BecomeFollower(now, this->hard_state.term, from);
-  }
-  this->leader_heard = now;
-  this->heard_leader = true;
-  this->ResetElectionTimer(now);
-}
-
-void Replica::OnAppend(Millis now, MemberId from, Append append) {
-  if (this->role == ReplicaRole::kLeader) return;
-  this->FollowLeader(now, from);
-  if (this->HaltWithout(append.required_index)) return;
-  if (this->installing) {
-    this->Reply(from, AppendReply{false, append.previous_index, 0, this->commit,
-                                  append.round});
-    return;
-  }
-  // What is committed equals the leader's log already.
-  size_t skipped = 0;
-  LogIndex previous = append.previous_index;
-  if (previous < this->commit) {
-    skipped = std::min<size_t>(this->commit - previous, append.entries.size());
-    previous = this->commit;
-    this->matched = std::max(this->matched, this->commit);
-  } else if (!this->log.Knows(previous) ||
-             this->log.TermAt(previous) != append.previous_term) {
-    LogIndex hint = std::min(previous, this->log.LastIndex());
-    if (hint == previous) {
-      // Skips the whole conflicting term.
-      const Term conflict = this->log.TermAt(previous);
-      while (hint > this->commit && this->log.TermAt(hint) == conflict) --hint;
-    }
-    this->Reply(from, AppendReply{false, previous, 0, hint, append.round});
-    return;
-  }
-  for (size_t i = skipped; i < append.entries.size(); ++i) {
-    LogEntry& entry = append.entries[i];
-    if (entry.term > this->hard_state.term) return;
-    if (entry.index > this->log.LastIndex() &&
-        entry.term < this->log.LastTerm()) {
-      return;
-    }
-    if (entry.index <= this->log.LastIndex()) {
-      if (this->log.TermAt(entry.index) == entry.term) continue;
-      if (entry.index <= this->commit) {
-        this->Halt("the leader's log contradicts committed entry " +
-                   std::to_string(entry.index));
-        return;
-      }
-      this->TruncateLog(entry.index);
-    }
-    this->AppendToLog(std::move(entry));
-  }
-  const LogIndex last =
-      std::max(previous, append.previous_index + append.entries.size());
-  this->matched = std::max(this->matched, last);
-  this->commit = std::max(this->commit, std::min(append.commit_index, last));
-  this->reply_when_synced = this->synced < this->matched;
-  // Entries are confirmed once synced; a heartbeat is answered at once.
-  if (append.entries.empty() || this->synced >= last) {
-    this->ReplyMatched(from, append.previous_index, append.round);
-  }
-}
-
-void Replica::OnAppendReply(Millis now, MemberId from,
-                            const AppendReply& reply) {
-  const auto found = this->progress.find(from);
-  if (this->role != ReplicaRole::kLeader || found == this->progress.end())
-    return;
-  Progress& state = found->second;
-  state.last_heard = now;
-  state.round = std::max(state.round, reply.round);
-  if (reply.synced_index > this->log.LastIndex() ||
-      reply.previous_index > this->log.LastIndex()) {
-    return;
-  }
-  if (!reply.matched) {
-    if (state.sending == Sending::kSnapshot ||
-        reply.previous_index <= state.match) {
-      return;
-    }
-    if (state.sending == Sending::kProbe &&
-        reply.previous_index != state.next - 1) {
-      return;
-    }
-    state.sending = Sending::kProbe;
-    state.waiting = false;
-    state.in_flight.clear();
-    state.in_flight_bytes = 0;
-    state.next = std::max(state.match + 1,
-                          std::min(reply.hint_index + 1, reply.previous_index));
-    return;
-  }
-  state.match = std::max(state.match, reply.synced_index);
-  while (!state.in_flight.empty() &&
-         state.in_flight.front().first <= state.match) {
-    state.in_flight_bytes -= state.in_flight.front().second;
-    state.in_flight.pop_front();
-  }
-  if (state.sending == Sending::kProbe) {
-    state.sending = Sending::kReplicate;
-    state.waiting = false;
-    state.next = std::max(state.match, reply.previous_index) + 1;
-  } else if (state.sending == Sending::kSnapshot) {
-    if (state.match < state.snapshot.index && !this->log.Knows(state.match)) {
-      return;
-    }
-    state.sending = Sending::kReplicate;
-    state.waiting = false;
-    state.next = state.match + 1;
-  }
-  state.next = std::max(state.next, state.match + 1);
-}
-
-void Replica::OnSnapshotChunk(Millis now, MemberId from,
-                              const SnapshotChunk& chunk) {
-  if (this->role == ReplicaRole::kLeader) return;
-  this->FollowLeader(now, from);
-  if (this->HaltWithout(chunk.required_index) || this->installing) return;
-  const SnapshotMeta& meta = chunk.meta;
-  if (meta.index <= this->commit ||
-      (this->log.Knows(meta.index) &&
-       this->log.TermAt(meta.index) == meta.term)) {
-    this->commit = std::max(this->commit, meta.index);
-    this->matched = std::max(this->matched, this->commit);
-    this->reply_when_synced = this->synced < this->matched;
-    this->ReplyMatched(from, meta.index, 0);
-    return;
-  }
-  if (meta.size > this->settings.max_snapshot_bytes) {
-    this->Halt("the leader's snapshot has " + std::to_string(meta.size) +
-               " bytes; the limit is " +
-               std::to_string(this->settings.max_snapshot_bytes));
-    return;
-  }
-  if (!this->incoming || this->incoming->meta != meta) {
-    if (chunk.offset != 0) {
-      this->Send(from, this->hard_state.term, SnapshotReply{meta.index, 0});
-      return;
-    }
-    this->incoming = Snapshot{meta, {}};
-  }
-  std::string& data = this->incoming->data;
-  if (chunk.offset == data.size() &&
-      chunk.data.size() <= meta.size - data.size()) {
-    data += chunk.data;
-  }
-  if (data.size() == meta.size) {
-    if (Hash64(data) != meta.checksum) {
-      this->incoming.reset();
-      this->Send(from, this->hard_state.term, SnapshotReply{meta.index, 0});
-      return;
-    }
-    this->installing = true;
-    PersistRequest* request = this->Writable();
-    request->install = *this->incoming;
-    request->truncate_from = 0;
-    request->entries.clear();
-  }
-  this->Send(from, this->hard_state.term,
-             SnapshotReply{meta.index, data.size()});
-}
-
-void Replica::OnSnapshotReply(Millis now, MemberId from,
-                              const SnapshotReply& reply) {
-  const auto found = this->progress.find(from);
-  if (this->role != ReplicaRole::kLeader || found == this->progress.end())
-    return;
-  Progress& state = found->second;
-  state.last_heard = now;
-  if (state.sending != Sending::kSnapshot ||
-      reply.index != state.snapshot.index ||
-      reply.next_offset > state.snapshot.size ||
-      reply.next_offset == state.snapshot_offset) {
-    return;
-  }
-  state.snapshot_offset = reply.next_offset;
-  state.last_chunk = now;
-  // With all sent, the member installs it and then confirms its index.
-  if (reply.next_offset < state.snapshot.size) {
-    this->RequestChunk(now, from, &state);
-  }
-}
-
-void Replica::SnapshotChunkRead(Millis now, const SnapshotRead& read,
-                                std::optional<std::string> data) {
-  const auto found = this->progress.find(read.to);
-  if (this->halted || this->role != ReplicaRole::kLeader ||
-      found == this->progress.end()) {
-    return;
-  }
-  Progress& state = found->second;
-  if (state.sending != Sending::kSnapshot ||
-      read.index != state.snapshot.index ||
-      read.offset != state.snapshot_offset) {
-    return;
-  }
-  if (!data) {
-    if (state.snapshot.index != this->snapshot.index) {
-      this->StartSnapshot(now, read.to, &state);
-    }
-    return;
-  }
-  this->Send(read.to, this->hard_state.term,
-             SnapshotChunk{state.snapshot, read.offset, std::move(*data),
-                           this->RequiredIndex(read.to)});
-}
-
-// Leader.
-
-ProposalId Replica::AppendOwn(EntryKind kind, std::string data) {
-  LogEntry entry{this->log.LastIndex() + 1, this->hard_state.term, kind,
-                 std::move(data)};
-  const ProposalId id{entry.index, entry.term};
-  this->uncommitted_bytes += EntryBytes(entry);
-  this->AppendToLog(std::move(entry));
-  return id;
-}
-
-LogIndex Replica::RequiredIndex(MemberId to) const {
-  const Member* member = FindMember(this->CurrentMembership(), to);
-  const LogIndex known = std::min(this->progress.at(to).match, this->commit);
-  return member == nullptr ? known : std::max(known, member->caught_up_index);
-}
-
-void Replica::SendTo(Millis now, MemberId to, Progress* progress,
-                     bool heartbeat) {
-  Progress& state = *progress;
-  if (state.sending != Sending::kSnapshot && !this->log.Knows(state.next - 1)) {
-    this->StartSnapshot(now, to, &state);
-  }
-  if (state.sending == Sending::kSnapshot &&
-      now - state.last_chunk >= this->settings.election_timeout) {
-    this->RequestChunk(now, to, &state);
-  }
-  bool sent = false;
-  if (state.sending == Sending::kProbe && !state.waiting) {
-    state.waiting = true;
-    this->SendAppend(now, to, &state, {});
-    sent = true;
-  }
-  while (state.sending == Sending::kReplicate &&
-         state.next <= this->log.LastIndex() &&
-         state.in_flight_bytes < this->settings.max_in_flight_bytes &&
-         state.in_flight.size() < this->settings.max_in_flight_messages) {
-    std::vector<LogEntry> entries = this->log.Slice(
-        state.next, this->settings.max_append_bytes, kMaxEntriesPerAppend);
-    size_t bytes = 0;
-    for (const LogEntry& entry : entries) bytes += EntryBytes(entry);
-    const LogIndex last = entries.back().index;
-    this->SendAppend(now, to, &state, std::move(entries));
-    state.next = last + 1;
-    state.in_flight.emplace_back(last, bytes);
-    state.in_flight_bytes += bytes;
-    sent = true;
-  }
-  if (heartbeat && !sent) this->SendAppend(now, to, &state, {});
-}
-
-void Replica::SendAppend(Millis /*now*/, MemberId to, Progress* progress,
-                         std::vector<LogEntry> entries) {
-  // A member that receives a snapshot gets heartbeats at the end of the log.
-  const LogIndex previous = progress->sending == Sending::kSnapshot
-                                ? this->log.LastIndex()
-                                : progress->next - 1;
-  this->Send(to, this->hard_state.term,
-             Append{previous, this->log.TermAt(previous), this->commit,
-                    this->round, this->RequiredIndex(to), std::move(entries)});
-}
-
-void Replica::StartSnapshot(Millis now, MemberId to, Progress* progress) {
-  progress->sending = Sending::kSnapshot;
-  progress->snapshot = this->snapshot;
-  progress->snapshot_offset = 0;
-  progress->in_flight.clear();
-  progress->in_flight_bytes = 0;
-  this->RequestChunk(now, to, progress);
-}
-
-void Replica::RequestChunk(Millis now, MemberId to, Progress* progress) {
-  progress->last_chunk = now;
-  const uint64_t left = progress->snapshot.size - progress->snapshot_offset;
-  this->output.snapshot_reads.push_back(
-      {to, progress->snapshot.index, progress->snapshot_offset,
-       std::min<size_t>(left, this->settings.snapshot_chunk_bytes)});
-}
-
-void Replica::UpdateProgressMembers(Millis now) {
-  const Membership& membership = this->CurrentMembership();
-  std::erase_if(this->progress, [&membership](const auto& item) {
-    return FindMember(membership, item.first) == nullptr;
-  });
-  for (const Member& member : membership.members) {
-    if (member.id == this->self || this->progress.contains(member.id)) continue;
-    Progress state;
-    state.next = this->log.LastIndex() + 1;
-    state.last_heard = now;
-    this->progress.emplace(member.id, std::move(state));
-  }
-}
-
-bool Replica::OwnTermCommitted() const {
-  return this->role == ReplicaRole::kLeader &&
-         this->commit >= this->first_own_index;
-}
-
-bool Replica::IsActive(const Progress& progress, Millis now) const {
-  return now - progress.last_heard < this->settings.election_timeout;
-}
-
-bool Replica::QuorumActive(Millis now) const {
-  const Membership& membership = this->CurrentMembership();
-  size_t count = IsVoter(membership, this->self) ? 1 : 0;
-  for (const auto& [member, state] : this->progress) {
-    if (IsVoter(membership, member) && this->IsActive(state, now)) ++count;
-  }
-  return count >= QuorumSize(membership);
-}
-
-std::set<MemberId> Replica::Working(Millis now) const {
-  std::set<MemberId> working = {this->self};
-  for (const auto& [member, state] : this->progress) {
-    if (this->IsActive(state, now) && state.match >= this->older_commit &&
-        state.match > 0) {
-      working.insert(member);
-    }
-  }
-  return working;
-}
-
-Result<Membership> Replica::CheckChange(Millis now,
-                                        const MembershipChange& change) const {
-  if (this->halted || this->role != ReplicaRole::kLeader) {
-    return NotLeader(this->leader);
-  }
-  // Before that, an earlier leader's change may still be in flight unseen.
-  if (!this->OwnTermCommitted()) {
-    return Error{ErrorCode::kUnavailable,
-                 "the leader has not committed an entry of its term yet"};
-  }
-  if (this->memberships.back().first > this->commit) {
-    return Error{ErrorCode::kConflict,
-                 "the membership change at index " +
-                     std::to_string(this->memberships.back().first) +
-                     " is still in flight"};
-  }
-  const std::set<MemberId> working = this->Working(now);
-  LogIndex caught_up_index = 0;
-  if (const auto* promote = std::get_if<PromoteLearner>(&change)) {
-    const auto found = this->progress.find(promote->id);
-    if (found != this->progress.end()) {
-      if (!working.contains(promote->id)) {
-        return Error{ErrorCode::kUnavailable,
-                     "member " + std::to_string(promote->id.Value()) +
-                         " has synced index " +
-                         std::to_string(found->second.match) + " of " +
-                         std::to_string(this->commit) +
-                         " and is not caught up"};
-      }
-      caught_up_index = std::min(found->second.match, this->commit);
-    }
-  }
-  BOOST_OUTCOME_TRY(
-      next, ApplyChange(this->CurrentMembership(), change, caught_up_index));
-  const int tolerated = FaultsTolerated(next, working);
-  if (tolerated < 0) {
-    return Error{
-        ErrorCode::kUnavailable,
-        "after this change only " +
-            std::to_string(static_cast<int>(QuorumSize(next)) + tolerated) +
-            " of " + std::to_string(VoterCount(next)) +
-            " voters would work; a quorum needs " +
-            std::to_string(QuorumSize(next))};
-  }
-  return next;
-}
-
-void Replica::AdvanceCommit() {
-  const Membership& membership = this->CurrentMembership();
-  std::vector<LogIndex> synced_by;
-  for (const Member& member : membership.members) {
-    if (!member.voter) continue;
-    synced_by.push_back(member.id == this->self
-                            ? this->synced
-                            : this->progress.at(member.id).match);
-  }
-  if (synced_by.empty()) return;
-  std::sort(synced_by.begin(), synced_by.end(), std::greater<>());
-  const LogIndex index = synced_by[QuorumSize(membership) - 1];
-  // An earlier term's entry can still be replaced although a quorum has it, so
-  // it is committed only by an entry of the leader's own term after it.
-  if (index <= this->commit ||
-      this->log.TermAt(index) != this->hard_state.term) {
-    return;
-  }
-  for (LogIndex i = this->commit + 1; i <= index; ++i) {
-    this->uncommitted_bytes -= EntryBytes(this->log.At(i));
-  }
-  this->commit = index;
-  // Lets the others apply without waiting for the next heartbeat.
-  this->heartbeat_due = true;
-}
-
 void Replica::StartReads() {
   if (!this->OwnTermCommitted()) return;
   bool started = false;
@@ -1018,8 +470,6 @@
   this->output.snapshot_request = std::move(meta);
 }
 
-// Log and storage.
-
 PersistRequest* Replica::Writable() {
   if (!this->output.persist) {
     this->output.persist.emplace();
@@ -1069,26 +519,6 @@
   return this->memberships.front().second;
 }
 
-void Replica::InstallDone() {
-  this->installing = false;
-  Snapshot installed = std::move(*this->incoming);
-  this->incoming.reset();
-  this->snapshot = installed.meta;
-  this->log = MemoryLog(this->snapshot.index, this->snapshot.term);
-  this->memberships = {{this->snapshot.index, this->snapshot.membership}};
-  this->synced = this->snapshot.index;
-  this->commit = this->snapshot.index;
-  this->applied = this->snapshot.index;
-  this->matched = std::max(this->matched, this->snapshot.index);
-  this->applied_bytes = 0;
-  this->applied_entries = 0;
-  this->snapshot_requested = false;
-  this->output.committed.clear();
-  this->output.snapshot_request.reset();
-  this->output.restore = std::move(installed);
-  this->reply_when_synced = true;
-}
-
 void Replica::Halt(std::string reason) {
   this->halted = true;
   this->FailReads();
--- a/src/control/control_codec.cc
+++ b/src/control/control_codec.cc
@@ -5,6 +5,8 @@
 
 #include "control/control_proto.h"
 #include "cornelhill/wire/data_codec.h"
+#include "wire/overloaded.h"
+#include "wire/parse_message.h"
 
 namespace cornelhill {
 
@@ -14,14 +16,6 @@
 using cornelhill::FromProto;
 using cornelhill::ToProto;
 
-// Makes the overload set of several lambdas.
-template <typename... Functions>
-struct Overloaded : Functions... {
-  using Functions::operator()...;
-};
-template <typename... Functions>
-Overloaded(Functions...) -> Overloaded<Functions...>;
-
 template <typename Enum>
 Result<Enum> EnumFrom(uint32_t value, uint32_t count, const char* what) {
   if (value >= count) {
@@ -47,26 +41,6 @@
   return Millis(static_cast<int64_t>(count));
 }
 
-// Parses `bytes` into `message` and checks size and version.
-template <typename Message>
-Result<void> Parse(std::string_view bytes, size_t limit, Message* message) {
-  if (bytes.size() > limit) {
-    return Error{ErrorCode::kTooLarge,
-                 "message of " + std::to_string(bytes.size()) +
-                     " bytes is larger than " + std::to_string(limit)};
-  }
-  if (!message->ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-    return Malformed("message of " + std::to_string(bytes.size()) +
-                     " bytes does not parse");
-  }
-  if (message->version() != kProtocolVersion) {
-    return Error{ErrorCode::kUnsupportedVersion,
-                 "protocol version " + std::to_string(message->version()) +
-                     " is not " + std::to_string(kProtocolVersion)};
-  }
-  return boost::outcome_v2::success();
-}
-
 void ToProto(const Renewal& in, pb::Renewal* out) {
   out->set_instance(in.instance.Value());
   out->set_incarnation(in.incarnation.Value());
@@ -469,105 +443,8 @@
   return ControlMessage(std::move(body));
 }
 
-Result<Command> ReadBody(const pb::Command& in) {
-  switch (in.body_case()) {
-    case pb::Command::kPutDeclaration: {
-      BOOST_OUTCOME_TRY(declaration,
-                        FromProto(in.put_declaration().declaration()));
-      return Command{
-          {},
-          {},
-          PutDeclaration{Revision(in.put_declaration().base_revision()),
-                         std::move(declaration)}};
-    }
-    case pb::Command::kUpstreamJoin: {
-      BOOST_OUTCOME_TRY(announcement, FromProto(in.upstream_join()));
-      return Command{{}, {}, UpstreamJoin{std::move(announcement)}};
-    }
-    case pb::Command::kUpstreamLeave:
-      return Command{
-          {},
-          {},
-          UpstreamLeave{InstanceId(in.upstream_leave().instance()),
-                        Incarnation(in.upstream_leave().incarnation()),
-                        in.upstream_leave().lost()}};
-    case pb::Command::kForgetLost:
-      return Command{{},
-                     {},
-                     ForgetLost{InstanceId(in.forget_lost().instance()),
-                                Incarnation(in.forget_lost().incarnation())}};
-    case pb::Command::kUpstreamDrain:
-      return Command{{},
-                     {},
-                     UpstreamDrain{InstanceId(in.upstream_drain().instance()),
-                                   in.upstream_drain().draining()}};
-    case pb::Command::kUpstreamWeight:
-      if (in.upstream_weight().weight() > kMaxWeight) {
-        return Malformed("weight is above " + std::to_string(kMaxWeight));
-      }
-      return Command{{},
-                     {},
-                     UpstreamWeight{InstanceId(in.upstream_weight().instance()),
-                                    in.upstream_weight().weight()}};
-    case pb::Command::kPutListeners: {
-      BOOST_OUTCOME_TRY(CheckText(in.put_listeners().document(),
-                                  kMaxListenerDocumentBytes,
-                                  "listener document"));
-      return Command{{},
-                     {},
-                     PutListeners{in.put_listeners().version(),
-                                  in.put_listeners().document()}};
-    }
-    case pb::Command::BODY_NOT_SET:
-      break;
-  }
-  return Malformed("command has no known body");
-}
-
 }  // namespace
 
-std::string Encode(const Command& command) {
-  pb::Command out;
-  out.set_version(kProtocolVersion);
-  out.set_request_id(command.request_id);
-  out.set_operator_name(command.operator_name);
-  std::visit(
-      Overloaded{
-          [&out](const PutDeclaration& body) {
-            out.mutable_put_declaration()->set_base_revision(body.base.Value());
-            ToProto(body.declaration,
-                    out.mutable_put_declaration()->mutable_declaration());
-          },
-          [&out](const UpstreamJoin& body) {
-            ToProto(body.announcement, out.mutable_upstream_join());
-          },
-          [&out](const UpstreamLeave& body) {
-            out.mutable_upstream_leave()->set_instance(body.instance.Value());
-            out.mutable_upstream_leave()->set_incarnation(
-                body.incarnation.Value());
-            out.mutable_upstream_leave()->set_lost(body.lost);
-          },
-          [&out](const ForgetLost& body) {
-            out.mutable_forget_lost()->set_instance(body.instance.Value());
-            out.mutable_forget_lost()->set_incarnation(
-                body.incarnation.Value());
-          },
-          [&out](const UpstreamDrain& body) {
-            out.mutable_upstream_drain()->set_instance(body.instance.Value());
-            out.mutable_upstream_drain()->set_draining(body.draining);
-          },
-          [&out](const UpstreamWeight& body) {
-            out.mutable_upstream_weight()->set_instance(body.instance.Value());
-            out.mutable_upstream_weight()->set_weight(body.weight);
-          },
-          [&out](const PutListeners& body) {
-            out.mutable_put_listeners()->set_version(body.version);
-            out.mutable_put_listeners()->set_document(body.document);
-          }},
-      command.body);
-  return out.SerializeAsString();
-}
-
 std::string Encode(const ControlMessage& message) {
   pb::ControlMessage out;
   out.set_version(kProtocolVersion);
@@ -618,22 +495,10 @@
   return out.SerializeAsString();
 }
 
-Result<Command> DecodeCommand(std::string_view bytes) {
-  pb::Command in;
-  BOOST_OUTCOME_TRY(Parse(bytes, kMaxCommandBytes, &in));
-  BOOST_OUTCOME_TRY(
-      CheckText(in.request_id(), kMaxRequestIdBytes, "request id"));
-  BOOST_OUTCOME_TRY(
-      CheckText(in.operator_name(), kMaxNameBytes, "operator name"));
-  BOOST_OUTCOME_TRY(out, ReadBody(in));
-  out.request_id = in.request_id();
-  out.operator_name = in.operator_name();
-  return out;
-}
-
 Result<ControlMessage> DecodeControlMessage(std::string_view bytes) {
   pb::ControlMessage in;
-  BOOST_OUTCOME_TRY(Parse(bytes, kMaxControlMessageBytes, &in));
+  BOOST_OUTCOME_TRY(
+      ParseVersioned(bytes, kMaxControlMessageBytes, kProtocolVersion, &in));
   switch (in.body_case()) {
     case pb::ControlMessage::kAnnouncement:
       return Read(in.announcement());
--- a/src/observe/inspect_codec.cc
+++ b/src/observe/inspect_codec.cc
@@ -9,6 +9,7 @@
 #include "cornelhill/wire/data_codec.h"
 #include "inspect.pb.h"
 #include "wire/flow_proto.h"
+#include "wire/parse_message.h"
 
 namespace cornelhill {
 
@@ -243,22 +244,9 @@
 }
 
 Result<InspectMessage> DecodeInspectMessage(std::string_view bytes) {
-  if (bytes.size() > kMaxInspectBytes) {
-    return Error{ErrorCode::kTooLarge, "message of " +
-                                           std::to_string(bytes.size()) +
-                                           " bytes is larger than " +
-                                           std::to_string(kMaxInspectBytes)};
-  }
   pb::InspectMessage in;
-  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-    return Malformed("message of " + std::to_string(bytes.size()) +
-                     " bytes does not parse");
-  }
-  if (in.version() != kProtocolVersion) {
-    return Error{ErrorCode::kUnsupportedVersion,
-                 "protocol version " + std::to_string(in.version()) +
-                     " is not " + std::to_string(kProtocolVersion)};
-  }
+  BOOST_OUTCOME_TRY(
+      ParseVersioned(bytes, kMaxInspectBytes, kProtocolVersion, &in));
   switch (in.body_case()) {
     case pb::InspectMessage::kFlowQuery:
       return FromProto(in.flow_query());
--- a/src/observe/timeline_codec.cc
+++ b/src/observe/timeline_codec.cc
@@ -7,6 +7,7 @@
 #include "cornelhill/wire/data_codec.h"
 #include "timeline.pb.h"
 #include "wire/flow_proto.h"
+#include "wire/parse_message.h"
 
 namespace cornelhill {
 
@@ -157,22 +158,9 @@
 }
 
 Result<TimelineMessage> DecodeTimelineMessage(std::string_view bytes) {
-  if (bytes.size() > kMaxTimelineBytes) {
-    return Error{ErrorCode::kTooLarge, "message of " +
-                                           std::to_string(bytes.size()) +
-                                           " bytes is larger than " +
-                                           std::to_string(kMaxTimelineBytes)};
-  }
   pb::TimelineMessage in;
-  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-    return Malformed("message of " + std::to_string(bytes.size()) +
-                     " bytes does not parse");
-  }
-  if (in.version() != kProtocolVersion) {
-    return Error{ErrorCode::kUnsupportedVersion,
-                 "protocol version " + std::to_string(in.version()) +
-                     " is not " + std::to_string(kProtocolVersion)};
-  }
+  BOOST_OUTCOME_TRY(
+      ParseVersioned(bytes, kMaxTimelineBytes, kProtocolVersion, &in));
   TimelineMessage out;
   out.clock = UnpackHybridTime(in.clock());
   switch (in.body_case()) {
--- a/src/segment/segment_messages.cc
+++ b/src/segment/segment_messages.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "segment.pb.h"
+#include "wire/parse_message.h"
 
 namespace cornelhill {
 
@@ -19,24 +20,6 @@
   return Fail(ErrorCode::kMalformed, std::move(message));
 }
 
-template <typename Message>
-Result<void> ParseInto(std::string_view bytes, size_t limit, Message* out) {
-  if (bytes.size() > limit) {
-    return Fail(ErrorCode::kTooLarge,
-                "message of " + std::to_string(bytes.size()) +
-                    " bytes is larger than " + std::to_string(limit));
-  }
-  if (!out->ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-    return Malformed("message is not valid protobuf");
-  }
-  if (out->version() != kNodeProtocolVersion) {
-    return Fail(ErrorCode::kUnsupportedVersion,
-                "message version " + std::to_string(out->version()) +
-                    " is not supported");
-  }
-  return boost::outcome_v2::success();
-}
-
 Result<Endpoint> ReadEndpoint(uint32_t address, uint32_t port) {
   if (port > 0xffff) return Malformed("port is above 65535");
   return Endpoint{address, static_cast<uint16_t>(port)};
@@ -247,7 +230,8 @@
 
 Result<SegmentMessage> DecodeSegmentMessage(std::string_view bytes) {
   pb::SegmentMessage in;
-  BOOST_OUTCOME_TRY(ParseInto(bytes, kMaxSegmentMessageBytes, &in));
+  BOOST_OUTCOME_TRY(ParseVersioned(bytes, kMaxSegmentMessageBytes,
+                                   kNodeProtocolVersion, &in));
   SegmentMessage out;
   const auto last = static_cast<uint32_t>(SegmentMessageKind::kNoHolder);
   if (in.kind() == 0 || in.kind() > last) return Malformed("unknown kind");
@@ -293,7 +277,8 @@
 
 Result<NodeMessage> DecodeNodeMessage(std::string_view bytes) {
   pb::NodeMessage in;
-  BOOST_OUTCOME_TRY(ParseInto(bytes, kMaxNodeMessageBytes, &in));
+  BOOST_OUTCOME_TRY(
+      ParseVersioned(bytes, kMaxNodeMessageBytes, kNodeProtocolVersion, &in));
   switch (in.body_case()) {
     case pb::NodeMessage::kHello:
       return ReadHello(in.hello());
--- a/src/wire/data_codec.cc
+++ b/src/wire/data_codec.cc
@@ -5,6 +5,7 @@
 
 #include "data.pb.h"
 #include "wire/flow_proto.h"
+#include "wire/parse_message.h"
 
 namespace cornelhill {
 
@@ -232,27 +233,6 @@
   return DataMessage(std::move(out));
 }
 
-// Parses `bytes` into `message` and checks size and version.
-template <typename Message>
-Result<void> Parse(std::string_view bytes, Message* message) {
-  if (bytes.size() > kMaxDatagramBytes) {
-    return Error{ErrorCode::kTooLarge, "message of " +
-                                           std::to_string(bytes.size()) +
-                                           " bytes is larger than " +
-                                           std::to_string(kMaxDatagramBytes)};
-  }
-  if (!message->ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-    return Malformed("message of " + std::to_string(bytes.size()) +
-                     " bytes does not parse");
-  }
-  if (message->version() != kProtocolVersion) {
-    return Error{ErrorCode::kUnsupportedVersion,
-                 "protocol version " + std::to_string(message->version()) +
-                     " is not " + std::to_string(kProtocolVersion)};
-  }
-  return boost::outcome_v2::success();
-}
-
 }  // namespace
 
 std::string Encode(const CallerDatagram& datagram) {
@@ -309,7 +289,8 @@
 
 Result<CallerDatagram> DecodeCallerDatagram(std::string_view bytes) {
   pb::CallerDatagram in;
-  BOOST_OUTCOME_TRY(Parse(bytes, &in));
+  BOOST_OUTCOME_TRY(
+      ParseVersioned(bytes, kMaxDatagramBytes, kProtocolVersion, &in));
   CallerDatagram out;
   out.nonce = FlowNonce(in.nonce());
   out.request = RequestNumber(in.request());
@@ -330,7 +311,8 @@
 
 Result<Encapsulated> DecodeEncapsulated(std::string_view bytes) {
   pb::Encapsulated in;
-  BOOST_OUTCOME_TRY(Parse(bytes, &in));
+  BOOST_OUTCOME_TRY(
+      ParseVersioned(bytes, kMaxDatagramBytes, kProtocolVersion, &in));
   Encapsulated out;
   BOOST_OUTCOME_TRY(flow, FromProto(in.flow()));
   out.flow = flow;
@@ -340,7 +322,8 @@
 
 Result<DataMessage> DecodeDataMessage(std::string_view bytes) {
   pb::DataMessage in;
-  BOOST_OUTCOME_TRY(Parse(bytes, &in));
+  BOOST_OUTCOME_TRY(
+      ParseVersioned(bytes, kMaxDatagramBytes, kProtocolVersion, &in));
   switch (in.body_case()) {
     case pb::DataMessage::kForward:
       return FromProto(in.mutable_forward());
