--- a/include/cornelhill/node/core_link.h
+++ b/include/cornelhill/node/core_link.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <string>
@@ -8,6 +7,7 @@
 
 #include "cornelhill/base/millis.h"
 #include "cornelhill/config/node_settings.h"
+#include "cornelhill/node/demand_timer.h"
 #include "cornelhill/node/node_socket.h"
 #include "cornelhill/node/runtime.h"
 #include "cornelhill/segment/segment_messages.h"
@@ -59,7 +59,7 @@
   NodeSocket socket;
   std::map<Endpoint, Member> members;
   bool connected = false;
-  boost::asio::steady_timer first_hello;
+  DemandTimer first_hello;
   Millis started;
 };
 
--- /dev/null
+++ b/include/cornelhill/node/demand_timer.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+#include "cornelhill/base/millis.h"
+#include "cornelhill/node/runtime.h"
+
+namespace cornelhill {
+
+// A timer that runs only while somebody needs it: `Arm` calls the action once
+// after the delay. Runs on the thread of the event loop.
+class DemandTimer {
+ public:
+  DemandTimer(Runtime& runtime, Millis delay, std::function<void()> action);
+
+  // Does nothing while the timer is armed. The action may call it.
+  void Arm();
+
+ private:
+  boost::asio::steady_timer timer;
+  Millis delay;
+  std::function<void()> action;
+  bool armed = false;
+};
+
+}  // namespace cornelhill
--- a/include/cornelhill/node/node_metrics.h
+++ b/include/cornelhill/node/node_metrics.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,10 +26,10 @@
   NodeMetrics(const NodeMetrics&) = delete;
   NodeMetrics& operator=(const NodeMetrics&) = delete;
 
-  Result<void> Listen(const Endpoint& address);
-
-  // Called before each answer, to set gauges.
-  void OnCollect(std::function<void()> action);
+  // Serves the metrics where there is an address. `collect` is called before
+  // each answer, to set gauges.
+  Result<void> Start(const std::optional<Endpoint>& address,
+                     std::function<void()> collect);
 
   // Counts a decision by its event name and reason, which are string literals.
   void CountDecision(std::string_view event, std::string_view reason);
--- a/include/cornelhill/segment/agent_directory.h
+++ b/include/cornelhill/segment/agent_directory.h
@@ -36,7 +36,6 @@
 
   // Null where the agent is not known. Valid until the next change.
   Entry* Find(const Endpoint& address);
-  const Entry* Find(const Endpoint& address) const;
 
   const std::map<Endpoint, Entry>& Entries() const { return this->entries; }
 
--- a/include/cornelhill/segment/segment_agent.h
+++ b/include/cornelhill/segment/segment_agent.h
@@ -69,14 +69,9 @@
 
 // What an agent wants sent, in order, and what it has decided.
 struct SegmentAgentOutput {
-  struct ToCaller {
-    Endpoint caller;
-    std::string datagram;
-  };
-
   std::vector<PeerMessage> peers;     // To balancers and other agents.
   std::vector<std::string> upstream;  // Datagrams.
-  std::vector<ToCaller> callers;
+  std::vector<CallerPacket> callers;
   std::vector<AgentDecision> decisions;
   // Times from an accepted first packet to the upstream's reply, and from a
   // request's first data to the answer's.
@@ -163,6 +158,11 @@
 
   void OnOffer(Millis now, const Endpoint& from, SegmentMessage message,
                const Segment& segment, SegmentAgentOutput* out);
+  // The flow that a copy of this first packet has opened before, or null.
+  const Flow* FindOpenedBy(const SegmentFlow& flow,
+                           const Segment& first_packet) const;
+  AgentDecision DecideOn(Millis now, const SegmentFlow& flow,
+                         OfferRefusal refusal, const Endpoint& balancer) const;
   OfferRefusal CheckOffer(Millis now, const SegmentMessage& message,
                           const Segment& segment) const;
   void OnPacketOfFlow(Millis now, const Endpoint& from, SegmentMessage message,
@@ -175,12 +175,17 @@
                        std::string datagram, SegmentAgentOutput* out);
   void ReplyNotSought(Millis now, const SegmentFlow& flow, const Endpoint& to,
                       SegmentAgentOutput* out);
+  // Returns a packet of a flow that this agent does not hold.
+  void HandBack(Millis now, const Endpoint& balancer, std::string datagram,
+                SegmentAgentOutput* out);
   void ReplyHeld(Millis now, const SegmentFlow& flow, const Endpoint& balancer,
                  const Endpoint& home, SegmentAgentOutput* out);
   Flow& Adopt(Millis now, const SegmentFlow& flow, SegmentAgentOutput* out);
   void Reply(Millis now, const Endpoint& to, SegmentMessage message,
              SegmentAgentOutput* out);
   void NoteCallerPacket(Millis now, const Segment& segment, Flow* flow);
+  // The flow counts no longer as one that opens.
+  void SetOpened(Flow* flow);
   void SetBusy(Flow* flow, bool is_busy);
   void Forget(const SegmentFlow& flow);
   static bool IsOpen(const Flow& flow, Millis now);
--- a/include/cornelhill/segment/segment_balancer.h
+++ b/include/cornelhill/segment/segment_balancer.h
@@ -54,17 +54,8 @@
 
 // What a balancer wants sent, in order, and what it has decided.
 struct BalancerOutput {
-  struct ToAgent {
-    Endpoint to;
-    SegmentMessage message;
-  };
-  struct ToCaller {
-    Endpoint caller;  // The caller's end of the flow.
-    std::string datagram;
-  };
-
-  std::vector<ToAgent> agents;
-  std::vector<ToCaller> callers;
+  std::vector<PeerMessage> agents;
+  std::vector<CallerPacket> callers;
   std::vector<BalancerEvent> events;
   // An agent has seen a later version than this balancer.
   bool listeners_stale = false;
@@ -149,40 +140,42 @@
     Endpoint agent;
     uint32_t load_limit_milli = 0;
   };
+  // Agents that keep the address of a flow's owner. The second one serves where
+  // the first is gone.
+  static constexpr size_t kHomes = 2;
+
+  using Entries = std::vector<const AgentDirectory::Entry*>;
+
+  // The service that a flow's listener leads to; none for a removed listener.
+  std::optional<ServiceKey> ServiceOf(const SegmentFlow& flow) const;
   // The agents of a service, or of all, that a flow's addresses rank first, in
   // that order: a pure function of the flow and the directory.
-  std::vector<const AgentDirectory::Entry*> Candidates(
-      std::optional<ServiceKey> service, const SegmentFlow& flow,
-      size_t count) const;
-  std::optional<Choice> ChooseAgent(Millis now, const SegmentFlow& flow,
-                                    const Listener& listener,
-                                    ServiceKey service,
-                                    std::optional<Endpoint> except);
-  std::optional<Choice> BestOf(
-      Millis now, const Listener& listener,
-      const std::vector<const AgentDirectory::Entry*>& candidates,
-      std::optional<Endpoint> except);
+  Entries Candidates(std::optional<ServiceKey> service, const SegmentFlow& flow,
+                     size_t count) const;
+  std::optional<Choice> BestOf(Millis now, const Listener& listener,
+                               const Entries& candidates,
+                               std::optional<Endpoint> except);
   // Expected busy requests per slot beside those that the agent states.
   double Surcharge(Millis now, const Listener& listener,
                    const AgentDirectory::Entry& entry);
   void Offer(Millis now, const SegmentFlow& flow, const Flow& state,
              uint32_t load_limit_milli, std::string datagram,
-             BalancerOutput* out);
+             const Entries& homes, BalancerOutput* out);
   void StartSeek(Millis now, const SegmentFlow& flow, std::string datagram,
                  BalancerOutput* out);
   void RunSeek(Millis now, const SegmentFlow& flow, std::string datagram,
                BalancerOutput* out);
   // The agents that a flow's addresses rank first. The owner tells them that it
   // holds the flow.
-  std::vector<Endpoint> HomesOf(const SegmentFlow& flow) const;
-  // Whether an agent has said nothing for so long that it may be gone.
-  bool IsSilent(Millis now, const Endpoint& agent) const;
+  Entries HomesOf(const SegmentFlow& flow) const;
+  static void AppendAddresses(const Entries& entries,
+                              std::vector<Endpoint>* out);
   // Names the agents that may hold a flow: those that have said nothing lately,
   // the likely ones, and all others. Returns whether none is left out.
   bool NameAgents(Millis now, const SegmentFlow& flow,
                   SegmentMessage* message) const;
-  // Asks the next home to find the owner. Returns false where none is left.
-  bool AskHome(Millis now, const SegmentFlow& flow, Seek* seek,
+  // Asks the next home to find the owner. Fails the seek where none is left.
+  void AskHome(Millis now, const SegmentFlow& flow, Seek* seek,
                BalancerOutput* out);
   void FailSeek(Millis now, const SegmentFlow& flow, Seek* seek,
                 BalancerOutput* out);
@@ -190,7 +183,10 @@
                    BalancerOutput* out);
   void OnNoHolder(Millis now, const SegmentFlow& flow, BalancerOutput* out);
   void EndSeek(Millis now, Seek* seek);
-  void Reset(const SegmentFlow& flow, BalancerEvent event, BalancerOutput* out);
+  // Forgets a flow that cannot be placed and resets it.
+  void RefuseFlow(const SegmentFlow& flow, const BalancerEvent& event,
+                  BalancerOutput* out);
+  void Reset(BalancerEvent event, uint32_t sequence, BalancerOutput* out);
   void OnRefused(Millis now, const Endpoint& from, SegmentMessage message,
                  BalancerOutput* out);
   void OnNotHeld(Millis now, const Endpoint& from, SegmentMessage message,
--- a/include/cornelhill/segment/segment_messages.h
+++ b/include/cornelhill/segment/segment_messages.h
@@ -107,11 +107,9 @@
 
 // From a daemon to a core member, periodically and on a change.
 struct Hello {
-  Endpoint address;
   bool balancer = false;
   bool directory = false;  // Asks for the agents, too.
   uint64_t listener_version = 0;
-  std::string failure_domain;
   std::vector<AgentRecord> agent;  // At most one: of the sender.
 };
 
@@ -159,8 +157,18 @@
   SegmentMessage message;
 };
 
+// A packet for a caller, whose end of the flow is `caller`.
+struct CallerPacket {
+  Endpoint caller;
+  std::string datagram;
+};
+
 // Agents that one message may name.
 constexpr size_t kMaxNamedAgents = 200;
+// So many agents are likely to hold a flow and are asked first. A flow is
+// placed at one of eight agents that its addresses select; agents that joined
+// since have moved these down.
+constexpr size_t kLikelyHolders = 12;
 
 // Encoders never fail. Decoders fail with `kMalformed`, `kTooLarge` or
 // `kUnsupportedVersion`. All are thread-safe.
--- a/src/node/core_link.cc
+++ b/src/node/core_link.cc
@@ -1,11 +1,11 @@
 #include "cornelhill/node/core_link.h"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 #include "cornelhill/base/log.h"
 #include "cornelhill/control/core_membership.h"
+#include "node/dropped_message.h"
 
 namespace cornelhill {
 
@@ -31,7 +31,9 @@
              [this](const NodeSocket::Peer& peer, const std::string& bytes) {
                this->OnMessage(peer, bytes);
              }),
-      first_hello(runtime.Io()) {
+      first_hello(runtime, kFirstHelloPeriod, [this] {
+        if (!this->HeardAll()) this->SayFirstHello();
+      }) {
   this->SetMembers({});
 }
 
@@ -46,11 +48,7 @@
 
 void CoreLink::SayFirstHello() {
   this->SayHello();
-  this->first_hello.expires_after(
-      std::chrono::milliseconds(kFirstHelloPeriod.Count()));
-  this->first_hello.async_wait([this](const boost::system::error_code& error) {
-    if (!error && !this->HeardAll()) this->SayFirstHello();
-  });
+  this->first_hello.Arm();
 }
 
 bool CoreLink::HeardAll() const {
@@ -103,7 +101,7 @@
                          const std::string& bytes) {
   const Result<NodeMessage> message = DecodeNodeMessage(bytes);
   if (!message.has_value()) {
-    LogLine("message_dropped").Warn().Add("detail", message.error().message);
+    LogDropped(message.error());
     return;
   }
   const auto* update = std::get_if<Update>(&message.value());
--- a/src/node/core_role.cc
+++ b/src/node/core_role.cc
@@ -21,6 +21,7 @@
 #include "cornelhill/node/runtime.h"
 #include "cornelhill/node/settings_watch.h"
 #include "cornelhill/segment/listener_table.h"
+#include "node/dropped_message.h"
 
 namespace cornelhill {
 
@@ -82,10 +83,8 @@
       this->socket.Connect(address);
     }
     this->watch.Start();
-    if (this->settings.metrics.has_value()) {
-      BOOST_OUTCOME_TRY(this->metrics.Listen(*this->settings.metrics));
-    }
-    this->metrics.OnCollect([this] { this->SetGauges(); });
+    BOOST_OUTCOME_TRY(this->metrics.Start(this->settings.metrics,
+                                          [this] { this->SetGauges(); }));
     this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
     this->runtime.Every(kMembershipPeriod, [this] { this->TendMembership(); });
     this->runtime.Every(kJoinPeriod, [this] {
@@ -216,20 +215,13 @@
     } else if (!this->empty_disk) {
       return;
     }
-    for (const Endpoint& address : this->OtherCores()) {
-      this->socket.Send(address, Encode(NodeMessage(join)));
-    }
+    this->SendToOthers(join);
   }
 
   // A process without a log learns the members from those that have one.
   void AskForMembers() {
     if (this->log != nullptr) return;
-    Hello hello;
-    hello.address = this->settings.CoreAddress();
-    hello.failure_domain = this->settings.failure_domain;
-    for (const Endpoint& address : this->OtherCores()) {
-      this->socket.Send(address, Encode(NodeMessage(hello)));
-    }
+    this->SendToOthers(Hello());
   }
 
   void OnUpdate(const Update& update) {
@@ -321,10 +313,7 @@
   void HandOver() {
     if (!this->Leads()) return;
     const ReplicaStatus status = this->log->Status(MonotonicNow());
-    for (const Endpoint& address : this->OtherCores()) {
-      this->socket.Send(address,
-                        Encode(NodeMessage(CoreHandOver{status.self.Value()})));
-    }
+    this->SendToOthers(CoreHandOver{status.self.Value()});
     LogLine("lead_handed_over").Add("term", status.term.Value());
   }
 
@@ -354,10 +343,17 @@
 
   // Messages.
 
+  void SendToOthers(const NodeMessage& message) {
+    const std::string bytes = Encode(message);
+    for (const Endpoint& address : this->OtherCores()) {
+      this->socket.Send(address, bytes);
+    }
+  }
+
   void OnMessage(const NodeSocket::Peer& peer, const std::string& bytes) {
     Result<NodeMessage> message = DecodeNodeMessage(bytes);
     if (!message.has_value()) {
-      LogLine("message_dropped").Warn().Add("detail", message.error().message);
+      LogDropped(message.error());
       return;
     }
     if (const auto* hello = std::get_if<Hello>(&message.value())) {
@@ -382,7 +378,7 @@
     if (this->log == nullptr) return;
     Result<ConsensusMessage> message = DecodeConsensusMessage(packet.message);
     if (!message.has_value()) {
-      LogLine("message_dropped").Warn().Add("detail", message.error().message);
+      LogDropped(message.error());
       return;
     }
     const Millis now = MonotonicNow();
--- a/src/node/entry_role.cc
+++ b/src/node/entry_role.cc
@@ -1,6 +1,4 @@
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
-#include <chrono>
 #include <string>
 #include <utility>
 
@@ -8,19 +6,21 @@
 #include "cornelhill/base/random.h"
 #include "cornelhill/node/core_link.h"
 #include "cornelhill/node/datagram_socket.h"
+#include "cornelhill/node/demand_timer.h"
 #include "cornelhill/node/http_server.h"
 #include "cornelhill/node/node_metrics.h"
 #include "cornelhill/node/node_roles.h"
 #include "cornelhill/node/runtime.h"
 #include "cornelhill/node/settings_watch.h"
 #include "cornelhill/segment/segment_balancer.h"
+#include "node/dropped_message.h"
 
 namespace cornelhill {
 
 namespace {
 
 constexpr Millis kTickPeriod{1000};
-constexpr std::chrono::milliseconds kSeekTick{10};
+constexpr Millis kSeekTick{10};
 // A router takes a balancer out of rotation after two checks that fail, half a
 // second apart; the third half second is for packets on their way.
 constexpr Millis kLeaveRotation{1500};
@@ -56,7 +56,7 @@
         watch(runtime, settings,
               [this](const auto& seeds) { this->link.SetSeeds(seeds); }),
         metrics(runtime.Io(), "entry"),
-        seek_timer(runtime.Io()) {}
+        seek_timer(runtime, kSeekTick, [this] { this->Tick(); }) {}
 
   Result<void> Run() {
     BOOST_OUTCOME_TRY(this->data.Open(this->settings.DataAddress()));
@@ -77,10 +77,8 @@
         flush);
     this->link.Start();
     this->watch.Start();
-    if (this->settings.metrics.has_value()) {
-      BOOST_OUTCOME_TRY(this->metrics.Listen(*this->settings.metrics));
-    }
-    this->metrics.OnCollect([this] { this->SetGauges(); });
+    BOOST_OUTCOME_TRY(this->metrics.Start(this->settings.metrics,
+                                          [this] { this->SetGauges(); }));
     this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
     this->runtime.Every(kCountersPeriod, [this] { this->LogCounters(); });
     this->runtime.OnDrain([this] {
@@ -101,10 +99,8 @@
  private:
   Hello MakeHello() const {
     Hello hello;
-    hello.address = this->settings.DataAddress();
     hello.balancer = true;
     hello.listener_version = this->balancer.Listeners().Version();
-    hello.failure_domain = this->settings.failure_domain;
     return hello;
   }
 
@@ -129,10 +125,7 @@
   void OnData(const Endpoint& from, std::string_view bytes) {
     Result<SegmentMessage> message = DecodeSegmentMessage(bytes);
     if (!message.has_value()) {
-      LogLine("message_dropped")
-          .Warn()
-          .Add("from", ToString(from))
-          .Add("detail", message.error().message);
+      LogDropped(message.error(), ToString(from));
       return;
     }
     BalancerOutput out;
@@ -143,16 +136,16 @@
 
   // Queues what is sent: the caller flushes.
   void Carry(BalancerOutput out) {
-    for (BalancerOutput::ToAgent& send : out.agents) {
+    for (PeerMessage& send : out.agents) {
       this->data.Queue(send.to, Encode(std::move(send.message)));
     }
-    for (BalancerOutput::ToCaller& send : out.callers) {
+    for (CallerPacket& send : out.callers) {
       this->data.Queue({send.caller.address, this->settings.packets->port},
                        std::move(send.datagram));
     }
     for (const BalancerEvent& event : out.events) Log(event);
     if (out.listeners_stale) this->link.SayHello();
-    if (this->balancer.Seeking()) this->ArmSeekTimer();
+    if (this->balancer.Seeking()) this->seek_timer.Arm();
   }
 
   void Log(const BalancerEvent& event) {
@@ -167,17 +160,6 @@
     line.Add("tries", event.tries).Add("reset", event.reset ? 1 : 0);
   }
 
-  void ArmSeekTimer() {
-    if (this->seek_armed) return;
-    this->seek_armed = true;
-    this->seek_timer.expires_after(kSeekTick);
-    this->seek_timer.async_wait([this](const boost::system::error_code& error) {
-      if (error) return;
-      this->seek_armed = false;
-      this->Tick();
-    });
-  }
-
   void Tick() {
     BalancerOutput out;
     this->balancer.Tick(MonotonicNow(), &out);
@@ -227,8 +209,7 @@
   CoreLink link;
   SettingsWatch watch;
   NodeMetrics metrics;
-  boost::asio::steady_timer seek_timer;
-  bool seek_armed = false;
+  DemandTimer seek_timer;
   bool draining = false;
 };
 
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -37,7 +37,7 @@
       respond({404, {}, {}, {}});
       return;
     }
-    if (this->collect) this->collect();
+    this->collect();
     const prometheus::TextSerializer serializer;
     respond({200,
              serializer.Serialize(this->registry.Collect()),
@@ -60,12 +60,11 @@
 
 NodeMetrics::~NodeMetrics() = default;
 
-Result<void> NodeMetrics::Listen(const Endpoint& address) {
-  return this->impl->server.Listen(address);
-}
-
-void NodeMetrics::OnCollect(std::function<void()> action) {
-  this->impl->collect = std::move(action);
+Result<void> NodeMetrics::Start(const std::optional<Endpoint>& address,
+                                std::function<void()> collect) {
+  this->impl->collect = std::move(collect);
+  if (!address.has_value()) return boost::outcome_v2::success();
+  return this->impl->server.Listen(*address);
 }
 
 void NodeMetrics::CountDecision(std::string_view event,
--- a/src/node/sidecar_role.cc
+++ b/src/node/sidecar_role.cc
@@ -1,24 +1,24 @@
-#include <boost/asio/steady_timer.hpp>
-#include <chrono>
 #include <string>
 #include <utility>
 
 #include "cornelhill/base/log.h"
 #include "cornelhill/node/core_link.h"
 #include "cornelhill/node/datagram_socket.h"
+#include "cornelhill/node/demand_timer.h"
 #include "cornelhill/node/http_server.h"
 #include "cornelhill/node/node_metrics.h"
 #include "cornelhill/node/node_roles.h"
 #include "cornelhill/node/runtime.h"
 #include "cornelhill/node/settings_watch.h"
 #include "cornelhill/segment/segment_agent.h"
+#include "node/dropped_message.h"
 
 namespace cornelhill {
 
 namespace {
 
 constexpr Millis kTickPeriod{1000};
-constexpr std::chrono::milliseconds kTrialTick{10};
+constexpr Millis kTrialTick{10};
 // Short work that has begun ends in this time; long flows are found again by
 // the next start.
 constexpr Millis kDrainPeriod{400};
@@ -59,7 +59,7 @@
         watch(runtime, settings,
               [this](const auto& seeds) { this->link.SetSeeds(seeds); }),
         metrics(runtime.Io(), "sidecar"),
-        trial_timer(runtime.Io()) {}
+        trial_timer(runtime, kTrialTick, [this] { this->Tick(); }) {}
 
   Result<void> Run() {
     BOOST_OUTCOME_TRY(this->data.Open(this->settings.DataAddress()));
@@ -83,10 +83,8 @@
         flush);
     this->link.Start();
     this->watch.Start();
-    if (this->settings.metrics.has_value()) {
-      BOOST_OUTCOME_TRY(this->metrics.Listen(*this->settings.metrics));
-    }
-    this->metrics.OnCollect([this] { this->SetGauges(); });
+    BOOST_OUTCOME_TRY(this->metrics.Start(this->settings.metrics,
+                                          [this] { this->SetGauges(); }));
     this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
     this->runtime.Every(kCountersPeriod, [this] { this->LogState(); });
     this->runtime.OnDrain([this] {
@@ -113,8 +111,6 @@
 
   Hello MakeHello() const {
     Hello hello;
-    hello.address = this->settings.DataAddress();
-    hello.failure_domain = this->settings.failure_domain;
     hello.agent.push_back(this->agent.Record(MonotonicNow()));
     return hello;
   }
@@ -173,10 +169,7 @@
   void OnData(const Endpoint& from, std::string_view bytes) {
     Result<SegmentMessage> message = DecodeSegmentMessage(bytes);
     if (!message.has_value()) {
-      LogLine("message_dropped")
-          .Warn()
-          .Add("from", ToString(from))
-          .Add("detail", message.error().message);
+      LogDropped(message.error(), ToString(from));
       return;
     }
     SegmentAgentOutput out;
@@ -194,7 +187,7 @@
     for (std::string& datagram : out.upstream) {
       this->outbound.Queue(*this->settings.upstream, std::move(datagram));
     }
-    for (SegmentAgentOutput::ToCaller& send : out.callers) {
+    for (CallerPacket& send : out.callers) {
       this->data.Queue({send.caller.address, this->settings.packets->port},
                        std::move(send.datagram));
     }
@@ -208,7 +201,7 @@
     for (const Millis time : out.answers) {
       this->metrics.ObserveTime("cornelhill_node_answer_seconds", time);
     }
-    if (this->agent.Waiting()) this->ArmTrialTimer();
+    if (this->agent.Waiting()) this->trial_timer.Arm();
   }
 
   void SetGauges() {
@@ -243,18 +236,6 @@
         .Add("report_age_ms", decision.report_age.Count());
   }
 
-  void ArmTrialTimer() {
-    if (this->trial_armed) return;
-    this->trial_armed = true;
-    this->trial_timer.expires_after(kTrialTick);
-    this->trial_timer.async_wait(
-        [this](const boost::system::error_code& error) {
-          if (error) return;
-          this->trial_armed = false;
-          this->Tick();
-        });
-  }
-
   void Tick() {
     SegmentAgentOutput out;
     this->agent.Tick(MonotonicNow(), &out);
@@ -280,8 +261,7 @@
   CoreLink link;
   SettingsWatch watch;
   NodeMetrics metrics;
-  boost::asio::steady_timer trial_timer;
-  bool trial_armed = false;
+  DemandTimer trial_timer;
 };
 
 }  // namespace
--- a/src/segment/agent_directory.cc
+++ b/src/segment/agent_directory.cc
@@ -33,12 +33,6 @@
   return found == this->entries.end() ? nullptr : &found->second;
 }
 
-const AgentDirectory::Entry* AgentDirectory::Find(
-    const Endpoint& address) const {
-  const auto found = this->entries.find(address);
-  return found == this->entries.end() ? nullptr : &found->second;
-}
-
 std::vector<AgentRecord> AgentDirectory::Records(
     Millis now, std::optional<Millis> changed_since) const {
   std::vector<AgentRecord> out;
--- a/src/segment/flow_homes.cc
+++ b/src/segment/flow_homes.cc
@@ -10,9 +10,6 @@
 
 // Flows with this agent as a home; an entry takes about 60 bytes.
 constexpr size_t kMaxHolders = 50000;
-// A flow is placed at one of eight agents that its addresses select; agents
-// that joined since have moved these down.
-constexpr size_t kFirstRound = 12;
 // A round trip between failure domains of 5 ms, and the 25 ms that an agent
 // takes to learn from its upstream whether it holds a flow.
 constexpr Millis kRound{40};
@@ -61,9 +58,10 @@
 
 void FlowHomes::NextRound(Millis now, Search* search,
                           std::vector<PeerMessage>* out) {
-  const size_t end = search->asked == 0 ? std::min(search->silent + kFirstRound,
-                                                   search->agents.size())
-                                        : search->agents.size();
+  const size_t end =
+      search->asked == 0
+          ? std::min(search->silent + kLikelyHolders, search->agents.size())
+          : search->agents.size();
   search->round_started = now;
   for (; search->asked < end; ++search->asked) {
     const Endpoint& agent = search->agents[search->asked];
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -174,21 +174,13 @@
                            SegmentAgentOutput* out) {
   const SegmentFlow flow{segment.source, segment.destination};
   const OfferRefusal refusal = this->CheckOffer(now, message, segment);
-  AgentDecision decision{AgentDecisionKind::kFlowAccepted,
-                         flow,
-                         refusal,
-                         this->State(now),
-                         this->busy,
-                         now - this->reported_at,
-                         from};
+  AgentDecision decision = this->DecideOn(now, flow, refusal, from);
   if (refusal != OfferRefusal::kNone) {
-    decision.kind = AgentDecisionKind::kOfferRefused;
     out->decisions.push_back(decision);
     const auto found = this->flows.find(flow);
     if (found != this->flows.end() && refusal == OfferRefusal::kUnresponsive) {
       this->SetBusy(&found->second, false);
-      if (!found->second.opened) --this->opening;
-      found->second.opened = true;
+      this->SetOpened(&found->second);
       found->second.declined = true;
     }
     message.kind = SegmentMessageKind::kRefused;
@@ -200,11 +192,7 @@
   if (message.listener_version >= seen.version) {
     seen = {message.listener_version, message.listener_shares};
   }
-  const auto found = this->flows.find(flow);
-  const bool copy = found != this->flows.end() &&
-                    found->second.first_sequence == segment.sequence &&
-                    found->second.first_known && !found->second.declined;
-  if (!copy) {
+  if (this->FindOpenedBy(flow, segment) == nullptr) {
     this->Forget(flow);
     Flow& added = this->flows[flow];
     added.first_sequence = segment.sequence;
@@ -228,15 +216,35 @@
   this->Reply(now, from, std::move(taken), out);
 }
 
+const SegmentAgent::Flow* SegmentAgent::FindOpenedBy(
+    const SegmentFlow& flow, const Segment& first_packet) const {
+  const auto found = this->flows.find(flow);
+  if (found == this->flows.end()) return nullptr;
+  const Flow& known = found->second;
+  const bool opened_by = known.first_known && !known.declined &&
+                         known.first_sequence == first_packet.sequence;
+  return opened_by ? &known : nullptr;
+}
+
+AgentDecision SegmentAgent::DecideOn(Millis now, const SegmentFlow& flow,
+                                     OfferRefusal refusal,
+                                     const Endpoint& balancer) const {
+  const bool taken = refusal == OfferRefusal::kNone;
+  return {taken ? AgentDecisionKind::kFlowAccepted
+                : AgentDecisionKind::kOfferRefused,
+          flow,
+          refusal,
+          this->State(now),
+          this->busy,
+          now - this->reported_at,
+          balancer};
+}
+
 OfferRefusal SegmentAgent::CheckOffer(Millis now, const SegmentMessage& message,
                                       const Segment& segment) const {
   const SegmentFlow flow{segment.source, segment.destination};
-  const auto found = this->flows.find(flow);
-  if (found != this->flows.end() && found->second.first_known &&
-      found->second.first_sequence == segment.sequence &&
-      !found->second.declined) {
-    const Flow& state = found->second;
-    if (!state.accepted && now - state.opened_at > kFirstReplyTimeout) {
+  if (const Flow* known = this->FindOpenedBy(flow, segment)) {
+    if (!known->accepted && now - known->opened_at > kFirstReplyTimeout) {
       return OfferRefusal::kUnresponsive;
     }
     return OfferRefusal::kNone;
@@ -284,8 +292,7 @@
     }
     return;
   }
-  message.kind = SegmentMessageKind::kNotHeld;
-  this->Reply(now, from, std::move(message), out);
+  this->HandBack(now, from, std::move(message.datagram), out);
 }
 
 // A search that every agent answers so ends with a reset: an agent that cannot
@@ -298,6 +305,14 @@
   this->Reply(now, to, std::move(message), out);
 }
 
+void SegmentAgent::HandBack(Millis now, const Endpoint& balancer,
+                            std::string datagram, SegmentAgentOutput* out) {
+  SegmentMessage message;
+  message.kind = SegmentMessageKind::kNotHeld;
+  message.datagram = std::move(datagram);
+  this->Reply(now, balancer, std::move(message), out);
+}
+
 void SegmentAgent::ReplyHeld(Millis now, const SegmentFlow& flow,
                              const Endpoint& balancer, const Endpoint& home,
                              SegmentAgentOutput* out) {
@@ -389,10 +404,7 @@
       this->ReplyNotSought(now, flow, ended.home, out);
       return;
     }
-    SegmentMessage message;
-    message.kind = SegmentMessageKind::kNotHeld;
-    message.datagram = std::move(datagram);
-    this->Reply(now, ended.balancer, std::move(message), out);
+    this->HandBack(now, ended.balancer, std::move(datagram), out);
     return;
   }
   const auto found = this->flows.find(flow);
@@ -409,10 +421,7 @@
         {flow.caller, this->settings.format.reset(flow.listener, flow.caller,
                                                   segment.acknowledged)});
   } else if (state.balancer != Endpoint()) {
-    SegmentMessage message;
-    message.kind = SegmentMessageKind::kNotHeld;
-    message.datagram = std::move(datagram);
-    this->Reply(now, state.balancer, std::move(message), out);
+    this->HandBack(now, state.balancer, std::move(datagram), out);
   }
   out->decisions.push_back(decision);
 }
@@ -425,14 +434,8 @@
   const Endpoint balancer = found->second.balancer;
   const uint32_t tries = found->second.tries;
   this->Forget(flow);
-  AgentDecision decision{AgentDecisionKind::kOfferRefused,
-                         flow,
-                         OfferRefusal::kFull,
-                         this->State(now),
-                         this->busy,
-                         now - this->reported_at,
-                         balancer};
-  out->decisions.push_back(decision);
+  out->decisions.push_back(
+      this->DecideOn(now, flow, OfferRefusal::kFull, balancer));
   SegmentMessage message;
   message.kind = SegmentMessageKind::kRefused;
   message.refusal = OfferRefusal::kFull;
@@ -453,10 +456,7 @@
 void SegmentAgent::NoteCallerPacket(Millis now, const Segment& segment,
                                     Flow* flow) {
   flow->seen = now;
-  if (!flow->opened) {
-    flow->opened = true;
-    --this->opening;
-  }
+  this->SetOpened(flow);
   if (segment.closes || segment.resets) flow->caller_closed = true;
   if (segment.data_bytes == 0) return;
   const uint32_t end = segment.sequence + segment.data_bytes;
@@ -467,6 +467,12 @@
   this->SetBusy(flow, true);
 }
 
+void SegmentAgent::SetOpened(Flow* flow) {
+  if (flow->opened) return;
+  flow->opened = true;
+  --this->opening;
+}
+
 void SegmentAgent::SetBusy(Flow* flow, bool is_busy) {
   if (flow->busy == is_busy) return;
   flow->busy = is_busy;
@@ -477,7 +483,7 @@
   const auto found = this->flows.find(flow);
   if (found == this->flows.end()) return;
   this->SetBusy(&found->second, false);
-  if (!found->second.opened) --this->opening;
+  this->SetOpened(&found->second);
   this->flows.erase(found);
 }
 
--- a/src/segment/segment_balancer.cc
+++ b/src/segment/segment_balancer.cc
@@ -113,7 +113,8 @@
       found->second.first_sequence == segment.sequence &&
       this->agents.Find(found->second.owner) != nullptr) {
     found->second.seen = now;
-    this->Offer(now, flow, found->second, 0, std::string(datagram), out);
+    this->Offer(now, flow, found->second, 0, std::string(datagram),
+                this->HomesOf(flow), out);
     return;
   }
   this->Place(now, flow, segment.sequence, std::string(datagram), 0,
@@ -127,18 +128,25 @@
   const Listener* listener = this->listeners.Find(flow.listener);
   if (listener == nullptr) {
     if (this->listeners.Version() == 0) return;
-    this->Reset(flow, {BalancerEventKind::kNoListener, flow}, out);
+    this->RefuseFlow(flow, {BalancerEventKind::kNoListener, flow}, out);
     return;
   }
   const ServiceKey service = ListenerTable::PickService(*listener, flow);
-  const std::optional<Choice> choice =
-      tries < kMaxOffers
-          ? this->ChooseAgent(now, flow, *listener, service, except)
-          : std::nullopt;
+  Entries candidates;
+  std::optional<Choice> choice;
+  if (tries < kMaxOffers) {
+    candidates = this->Candidates(service, flow, kOfferCandidates);
+    choice = this->BestOf(now, *listener, candidates, except);
+    if (!choice.has_value()) {
+      const size_t all = this->agents.Entries().size();
+      choice = this->BestOf(now, *listener,
+                            this->Candidates(service, flow, all), except);
+    }
+  }
   if (!choice.has_value()) {
     BalancerEvent event{BalancerEventKind::kNoAgent, flow};
     event.tries = tries;
-    this->Reset(flow, event, out);
+    this->RefuseFlow(flow, event, out);
     return;
   }
   if (this->flows.size() >= this->settings.max_flows &&
@@ -147,24 +155,13 @@
   }
   Flow& state = this->flows[flow];
   state = {choice->agent, now, first_sequence, tries};
+  candidates.resize(std::min(candidates.size(), kHomes));
   this->Offer(now, flow, state, choice->load_limit_milli, std::move(datagram),
-              out);
-}
-
-std::optional<SegmentBalancer::Choice> SegmentBalancer::ChooseAgent(
-    Millis now, const SegmentFlow& flow, const Listener& listener,
-    ServiceKey service, std::optional<Endpoint> except) {
-  for (const size_t count : {kOfferCandidates, this->agents.Entries().size()}) {
-    const std::optional<Choice> choice = this->BestOf(
-        now, listener, this->Candidates(service, flow, count), except);
-    if (choice.has_value()) return choice;
-  }
-  return std::nullopt;
+              candidates, out);
 }
 
 std::optional<SegmentBalancer::Choice> SegmentBalancer::BestOf(
-    Millis now, const Listener& listener,
-    const std::vector<const AgentDirectory::Entry*>& candidates,
+    Millis now, const Listener& listener, const Entries& candidates,
     std::optional<Endpoint> except) {
   constexpr double kNone = std::numeric_limits<double>::max();
   std::optional<Choice> choice;
@@ -213,7 +210,8 @@
 
 void SegmentBalancer::Offer(Millis now, const SegmentFlow& flow,
                             const Flow& state, uint32_t load_limit_milli,
-                            std::string datagram, BalancerOutput* out) {
+                            std::string datagram, const Entries& homes,
+                            BalancerOutput* out) {
   const Listener* listener = this->listeners.Find(flow.listener);
   SegmentMessage message;
   message.kind = SegmentMessageKind::kOffer;
@@ -225,7 +223,7 @@
   }
   message.tries = state.tries;
   message.load_milli = load_limit_milli;
-  message.agents = this->HomesOf(flow);
+  AppendAddresses(homes, &message.agents);
   Standing& standing = this->standings[state.owner];
   ++standing.unanswered_offers;
   standing.last_offer = now;
@@ -233,17 +231,32 @@
   out->agents.push_back({state.owner, std::move(message)});
 }
 
-void SegmentBalancer::Reset(const SegmentFlow& flow, BalancerEvent event,
-                            BalancerOutput* out) {
+void SegmentBalancer::RefuseFlow(const SegmentFlow& flow,
+                                 const BalancerEvent& event,
+                                 BalancerOutput* out) {
   this->flows.erase(flow);
+  this->Reset(event, 0, out);
+}
+
+void SegmentBalancer::Reset(BalancerEvent event, uint32_t sequence,
+                            BalancerOutput* out) {
+  const SegmentFlow& flow = event.flow;
   ++this->counters.resets;
   event.reset = true;
-  out->callers.push_back({flow.caller, this->settings.format.reset(
-                                           flow.listener, flow.caller, 0)});
+  out->callers.push_back(
+      {flow.caller,
+       this->settings.format.reset(flow.listener, flow.caller, sequence)});
   out->events.push_back(event);
 }
 
-std::vector<const AgentDirectory::Entry*> SegmentBalancer::Candidates(
+std::optional<ServiceKey> SegmentBalancer::ServiceOf(
+    const SegmentFlow& flow) const {
+  const Listener* listener = this->listeners.Find(flow.listener);
+  if (listener == nullptr) return std::nullopt;
+  return ListenerTable::PickService(*listener, flow);
+}
+
+SegmentBalancer::Entries SegmentBalancer::Candidates(
     std::optional<ServiceKey> service, const SegmentFlow& flow,
     size_t count) const {
   const uint64_t flow_hash = std::hash<SegmentFlow>()(flow);
@@ -259,7 +272,7 @@
                     ranked.begin() + static_cast<ptrdiff_t>(kept),
                     ranked.end());
   ranked.resize(kept);
-  std::vector<const AgentDirectory::Entry*> out;
+  Entries out;
   out.reserve(ranked.size());
   for (const auto& [rank, entry] : ranked) out.push_back(entry);
   return out;
--- a/src/segment/segment_balancer_seek.cc
+++ b/src/segment/segment_balancer_seek.cc
@@ -13,24 +13,30 @@
 
 // Packets of one flow that wait while its owner is sought: a sender's window.
 constexpr size_t kMaxHeldPackets = 16;
-// Agents that keep the address of a flow's owner. The second one serves where
-// the first is gone.
-constexpr size_t kHomes = 2;
 // Two rounds of questions with 25 ms for the upstream of a recovering agent.
 constexpr Millis kAskHome{100};
 // A flow whose upstream is gone is retransmitted up to eight times.
 constexpr Millis kSeekPause{150};
 constexpr Millis kSeekPauseMax{2400};
 constexpr Millis kSeekMemory{5000};
-// A home asks this many first. A flow is placed at one of eight agents that its
-// addresses select; agents that joined since have moved these down.
-constexpr size_t kLikely = 12;
 // Agents speak once a second and balancers hear of it within another second. An
 // instance that was taken away says nothing more, and its upstream is gone.
 constexpr Millis kAgentSilence{3000};
 
+// Whether an agent has said nothing for so long that it may be gone.
+bool IsSilent(Millis now, const AgentDirectory::Entry& entry) {
+  return now - entry.said_at > kAgentSilence;
+}
+
 }  // namespace
 
+void SegmentBalancer::AppendAddresses(const Entries& entries,
+                                      std::vector<Endpoint>* out) {
+  for (const AgentDirectory::Entry* entry : entries) {
+    out->push_back(entry->record.address);
+  }
+}
+
 void SegmentBalancer::StartSeek(Millis now, const SegmentFlow& flow,
                                 std::string datagram, BalancerOutput* out) {
   const auto [found, added] = this->seeks.try_emplace(flow);
@@ -56,64 +62,46 @@
                               std::string datagram, BalancerOutput* out) {
   Seek& seek = this->seeks.at(flow);
   seek.held.push_back(std::move(datagram));
-  seek.homes = this->HomesOf(flow);
-  std::stable_partition(
-      seek.homes.begin(), seek.homes.end(),
-      [this, now](const Endpoint& home) { return !this->IsSilent(now, home); });
+  Entries homes = this->HomesOf(flow);
+  std::stable_partition(homes.begin(), homes.end(), [now](const auto* entry) {
+    return !IsSilent(now, *entry);
+  });
+  seek.homes.clear();
+  AppendAddresses(homes, &seek.homes);
   ++this->seeking;
   ++this->counters.seeks;
   out->events.push_back({BalancerEventKind::kSeekStarted, flow});
-  if (!this->AskHome(now, flow, &seek, out)) {
-    this->FailSeek(now, flow, &seek, out);
-  }
+  this->AskHome(now, flow, &seek, out);
 }
 
-std::vector<Endpoint> SegmentBalancer::HomesOf(const SegmentFlow& flow) const {
-  std::optional<ServiceKey> service;
-  const Listener* listener = this->listeners.Find(flow.listener);
-  if (listener != nullptr) {
-    service = ListenerTable::PickService(*listener, flow);
-  }
-  std::vector<Endpoint> homes;
-  for (const AgentDirectory::Entry* entry :
-       this->Candidates(service, flow, kHomes)) {
-    homes.push_back(entry->record.address);
-  }
-  return homes;
-}
-
-bool SegmentBalancer::IsSilent(Millis now, const Endpoint& agent) const {
-  const AgentDirectory::Entry* entry = this->agents.Find(agent);
-  return entry == nullptr || now - entry->said_at > kAgentSilence;
+SegmentBalancer::Entries SegmentBalancer::HomesOf(
+    const SegmentFlow& flow) const {
+  return this->Candidates(this->ServiceOf(flow), flow, kHomes);
 }
 
 bool SegmentBalancer::NameAgents(Millis now, const SegmentFlow& flow,
                                  SegmentMessage* message) const {
-  std::vector<Endpoint> likely;
-  std::vector<Endpoint> silent;
-  std::vector<Endpoint> others;
-  const Listener* listener = this->listeners.Find(flow.listener);
-  if (listener != nullptr) {
-    const ServiceKey service = ListenerTable::PickService(*listener, flow);
-    for (const AgentDirectory::Entry* entry :
-         this->Candidates(service, flow, kLikely)) {
-      likely.push_back(entry->record.address);
-    }
+  Entries likely;
+  if (const auto service = this->ServiceOf(flow)) {
+    likely = this->Candidates(service, flow, kLikelyHolders);
   }
+  Entries silent;
+  Entries others;
   for (const auto& [address, entry] : this->agents.Entries()) {
     if (entry.record.state == UpstreamState::kGone) continue;
-    if (this->IsSilent(now, address)) {
-      std::erase(likely, address);
-      silent.push_back(address);
-    } else if (std::find(likely.begin(), likely.end(), address) ==
+    if (IsSilent(now, entry)) {
+      silent.push_back(&entry);
+    } else if (std::find(likely.begin(), likely.end(), &entry) ==
                likely.end()) {
-      others.push_back(address);
+      others.push_back(&entry);
     }
   }
+  std::erase_if(likely,
+                [now](const auto* entry) { return IsSilent(now, *entry); });
   std::vector<Endpoint>& named = message->agents;
-  named = silent;
-  named.insert(named.end(), likely.begin(), likely.end());
-  named.insert(named.end(), others.begin(), others.end());
+  AppendAddresses(silent, &named);
+  AppendAddresses(likely, &named);
+  AppendAddresses(others, &named);
   const bool all = named.size() <= kMaxNamedAgents;
   if (!all) named.resize(kMaxNamedAgents);
   message->silent_agents =
@@ -121,9 +109,12 @@
   return all;
 }
 
-bool SegmentBalancer::AskHome(Millis now, const SegmentFlow& flow, Seek* seek,
+void SegmentBalancer::AskHome(Millis now, const SegmentFlow& flow, Seek* seek,
                               BalancerOutput* out) {
-  if (seek->homes.empty()) return false;
+  if (seek->homes.empty()) {
+    this->FailSeek(now, flow, seek, out);
+    return;
+  }
   SegmentMessage message;
   message.kind = SegmentMessageKind::kSeekAtHome;
   message.datagram = seek->held.front();
@@ -131,7 +122,6 @@
   seek->started = now;
   out->agents.push_back({seek->homes.front(), std::move(message)});
   seek->homes.erase(seek->homes.begin());
-  return true;
 }
 
 void SegmentBalancer::DeliverHeld(const Endpoint& owner, size_t first,
@@ -171,13 +161,8 @@
     return;
   }
   const Result<Segment> first = this->settings.format.read(seek.held.front());
-  out->callers.push_back(
-      {flow.caller, this->settings.format.reset(flow.listener, flow.caller,
-                                                first.value().acknowledged)});
-  BalancerEvent event{BalancerEventKind::kFlowLost, flow};
-  event.reset = true;
-  out->events.push_back(event);
-  ++this->counters.resets;
+  this->Reset({BalancerEventKind::kFlowLost, flow}, first.value().acknowledged,
+              out);
   this->EndSeek(now, &seek);
 }
 
@@ -216,9 +201,7 @@
       item = waited > kSeekMemory ? this->seeks.erase(item) : std::next(item);
       continue;
     }
-    if (waited > kAskHome && !this->AskHome(now, item->first, &seek, out)) {
-      this->FailSeek(now, item->first, &seek, out);
-    }
+    if (waited > kAskHome) this->AskHome(now, item->first, &seek, out);
     ++item;
   }
 }
--- a/src/segment/segment_messages.cc
+++ b/src/segment/segment_messages.cc
@@ -114,12 +114,9 @@
 
   void operator()(const Hello& in) const {
     pb::Hello* body = this->out->mutable_hello();
-    body->set_address(in.address.address);
-    body->set_port(in.address.port);
     body->set_balancer(in.balancer);
     body->set_directory(in.directory);
     body->set_listener_version(in.listener_version);
-    body->set_failure_domain(in.failure_domain);
     if (!in.agent.empty()) ToProto(in.agent.front(), body->mutable_agent());
   }
   void operator()(const Update& in) const {
@@ -162,12 +159,9 @@
 
 Result<NodeMessage> ReadHello(const pb::Hello& in) {
   Hello out;
-  BOOST_OUTCOME_TRY(address, ReadEndpoint(in.address(), in.port()));
-  out.address = address;
   out.balancer = in.balancer();
   out.directory = in.directory();
   out.listener_version = in.listener_version();
-  out.failure_domain = in.failure_domain();
   if (in.has_agent()) {
     BOOST_OUTCOME_TRY(record, FromProto(in.agent()));
     out.agent.push_back(std::move(record));
--- a/tests/segment/segment_world.h
+++ b/tests/segment/segment_world.h
@@ -233,10 +233,10 @@
   }
 
   void Carry(const Endpoint& balancer, BalancerOutput out) {
-    for (BalancerOutput::ToCaller& send : out.callers) {
+    for (CallerPacket& send : out.callers) {
       this->to_callers.push_back(text_format::Read(send.datagram).value());
     }
-    for (BalancerOutput::ToAgent& send : out.agents) {
+    for (PeerMessage& send : out.agents) {
       ++this->balancer_sent;
       ++this->agent_messages;
       const auto agent = this->agents.find(send.to);
@@ -249,7 +249,7 @@
   }
 
   void Carry(const Endpoint& agent, SegmentAgentOutput out) {
-    for (SegmentAgentOutput::ToCaller& send : out.callers) {
+    for (CallerPacket& send : out.callers) {
       this->to_callers.push_back(text_format::Read(send.datagram).value());
     }
     for (PeerMessage& send : out.peers) {
