Accept downloads as a kind of work of their own

Its distance counts as that of an upload. An unknown kind is still refused with the field, the value and the accepted kinds. Two tests fail without it.

Ruled out: reading "download" as idempotent; the balancer would then treat 20 kB answers as small work when it weighs a remote failure domain.

--- a/include/cornelhill/segment/listener_table.h
+++ b/include/cornelhill/segment/listener_table.h
@@ -13,15 +13,23 @@
 
 namespace cornelhill {
 
-// Whether the requests to a listener may run more than once.
+// Whether the requests to a listener may run more than once, and in which
+// direction most of their bytes go.
 enum class WorkKind : uint8_t {
   kIdempotent = 0,
   kNonIdempotent = 1,
-  kUpload = 2
+  kUpload = 2,    // Many bytes to the upstream; may run once only.
+  kDownload = 3,  // Many bytes to the caller; may run more than once.
 };
 
 // Number of `WorkKind` values.
-constexpr uint32_t kWorkKindCount = 3;
+constexpr uint32_t kWorkKindCount = 4;
+
+// Returns whether the requests carry many bytes in either direction.
+// Thread-safe.
+inline bool IsBulk(WorkKind work) {
+  return work == WorkKind::kUpload || work == WorkKind::kDownload;
+}
 
 // A service that receives a weighted share of a listener's new flows.
 struct ListenerShare {
--- a/src/segment/segment_balancer.cc
+++ b/src/segment/segment_balancer.cc
@@ -31,10 +31,10 @@
 constexpr Millis kAvoidNotReadyPeriod{1500};
 constexpr Millis kAvoidFullPeriod{100};
 // Penalty for an agent in another failure domain, in busy requests per slot.
-// The link adds 2 to 6 ms to each round trip and its traffic is billed; an
-// upload has 100 times as much of it.
+// The link adds 2 to 6 ms to each round trip and its traffic is billed; bulk
+// work has 100 times as much of it.
 constexpr double kRemoteDomainPenalty = 0.15;
-constexpr double kRemoteUploadPenalty = 0.6;
+constexpr double kRemoteBulkPenalty = 0.6;
 // Expected busy requests of one open flow: a caller sends about one request a
 // second, which takes 13 to 26 ms; a few percent take seven times as long.
 constexpr double kOpenFlowLoad = 0.03;
@@ -205,8 +205,8 @@
   penalty += kOpenFlowLoad * entry.record.open_flows / slots;
   penalty += kTieBreakNoise * this->random.UniformDouble();
   if (entry.record.failure_domain != this->settings.failure_domain) {
-    penalty += listener.work == WorkKind::kUpload ? kRemoteUploadPenalty
-                                                  : kRemoteDomainPenalty;
+    penalty +=
+        IsBulk(listener.work) ? kRemoteBulkPenalty : kRemoteDomainPenalty;
   }
   // Not excluded: an avoided agent is better than none.
   if (now < history.avoid_until) penalty += kAvoidPenalty;
--- a/tests/platform/listener_format_test.cc
+++ b/tests/platform/listener_format_test.cc
@@ -1,6 +1,8 @@
 #include <criterion/criterion.h>
 
 #include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "cornelhill/base/random.h"
@@ -43,6 +45,33 @@
   cr_assert(set.listeners[1].work == WorkKind::kUpload);
 }
 
+// A document was refused as a whole when one route carried downloads.
+Test(listener_format, reads_every_kind_of_work) {
+  const std::vector<std::pair<std::string, WorkKind>> kinds = {
+      {"idempotent", WorkKind::kIdempotent},
+      {"non_idempotent", WorkKind::kNonIdempotent},
+      {"upload", WorkKind::kUpload},
+      {"download", WorkKind::kDownload}};
+  for (const auto& [name, kind] : kinds) {
+    Json document = Document();
+    document["routes"][0]["type"] = name;
+    const Result<ListenerSet> set = Read(document);
+    cr_assert(set.has_value(), "%s", name.c_str());
+    cr_assert(set.value().listeners[0].work == kind, "%s", name.c_str());
+  }
+}
+
+// The operator sees which field and value were refused and what is accepted.
+Test(listener_format, refusal_of_an_unknown_kind_names_the_accepted_ones) {
+  Json document = Document();
+  document["routes"][1]["type"] = "stream";
+  const Result<ListenerSet> set = Read(document);
+  cr_assert(!set.has_value());
+  cr_assert_str_eq(set.error().message.c_str(),
+                   "routes[1].type: \"stream\" is not idempotent, "
+                   "non_idempotent, upload or download");
+}
+
 // Accepting any of these would apply a configuration that the operator did not
 // intend.
 Test(listener_format, rejects_invalid_documents) {
