Hold first packets at the agent until its upstream has capacity

Cause: an agent passed every accepted flow on to its upstream. Load above the capacity was then shed by the upstream, at the price of one of the caller's three attempts, or reset where too many flows were open.

Change: an agent admits as many flows as keep all slots occupied, which it derives from the service time and the time until a request has arrived, both measured by itself. Further first packets wait in an AdmissionQueue: those that can still be answered within their listener's target first, by priority and age; late ones after them, the latest first. Waiting flows go back to the balancer when the upstream leaves or the agent stops. Requests of a crashed upstream take no capacity of the next one. The fitted constants kBusyTimeout, kFirstReplyTimeout and kOpeningTimeout now follow from the listener's timeout and from the packet format's bounds.

Two tests of segment_path opened ten and thirty flows at one upstream that no caller continued; such flows now occupy it. Their callers now send data; the checks are the same.

--- a/include/cornelhill/segment/segment.h
+++ b/include/cornelhill/segment/segment.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "cornelhill/base/flow_key.h"
+#include "cornelhill/base/millis.h"
 #include "cornelhill/base/registry.h"
 #include "cornelhill/base/result.h"
 
@@ -32,6 +33,9 @@
   uint32_t sequence = 0;
   uint32_t acknowledged = 0;
   uint32_t data_bytes = 0;
+  // Of a caller's first packet: time since the caller sent the first copy of
+  // it, when it sent this one.
+  Millis age;
 };
 
 // Codec of the packets on the wire. All functions are thread-safe and
@@ -46,6 +50,10 @@
   // Restores a returned packet to the form in which its sender wrote it.
   // Requires a datagram that `read` accepted.
   void (*clear_returned)(std::string* datagram) = nullptr;
+  // A caller sends the first copy of an unanswered first packet after this.
+  Millis retransmission_delay{200};
+  // A caller gives up opening a flow after this.
+  Millis opening_timeout{1400};
 };
 
 using SegmentFormatRegistry = Registry<SegmentFormat>;
--- a/include/cornelhill/segment/segment_agent.h
+++ b/include/cornelhill/segment/segment_agent.h
@@ -7,12 +7,15 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cornelhill/base/millis.h"
+#include "cornelhill/segment/admission_queue.h"
 #include "cornelhill/segment/flow_owner_directory.h"
 #include "cornelhill/segment/segment.h"
 #include "cornelhill/segment/segment_messages.h"
+#include "cornelhill/segment/upstream_capacity.h"
 
 namespace cornelhill {
 
@@ -48,10 +51,11 @@
   kFlowLost = 4,  // The upstream has restarted; the caller was sent a reset.
   kMalformed = 5,
   kSearchFailed = 6,  // Some agents did not answer a probe for the flow.
+  kWaitEnded = 7,     // The caller gave up before the upstream had capacity.
 };
 
 // Number of `AgentDecisionKind` values.
-constexpr uint32_t kAgentDecisionKindCount = 7;
+constexpr uint32_t kAgentDecisionKindCount = 8;
 
 std::string_view ToString(AgentDecisionKind kind);
 
@@ -61,6 +65,9 @@
   OfferRefusal refusal = OfferRefusal::kNone;
   UpstreamState state = UpstreamState::kUnknown;
   uint32_t busy = 0;
+  size_t waiting = 0;       // Flows that wait for capacity of the upstream.
+  uint32_t flow_limit = 0;  // Flows to have in progress at the upstream.
+  Millis expected_wait;
   Millis report_age;
   Endpoint balancer;
   // Agents that did not answer, of a failed search.
@@ -78,6 +85,8 @@
   // the first data of a request to the first data of its answer.
   std::vector<Millis> first_replies;
   std::vector<Millis> answers;
+  // Times from the offer of a flow to its admission.
+  std::vector<Millis> waits;
 };
 
 // Decision logic of the agent that runs beside one upstream, for flows of a
@@ -98,8 +107,8 @@
   // in its last report.
   void OnLeave(const std::string& id);
 
-  // Refuses new flows from now on.
-  void Drain() { this->draining = true; }
+  // Refuses new flows from now on, and flows that wait.
+  void Drain(Millis now, SegmentAgentOutput* out);
 
   // Handles a message from the balancer or agent at `from`.
   void OnPeerMessage(Millis now, const Endpoint& from, SegmentMessage message,
@@ -109,13 +118,13 @@
   void OnUpstreamPacket(Millis now, std::string datagram,
                         SegmentAgentOutput* out);
 
-  // Ends upstream checks and owner searches whose deadline has passed, and
-  // removes idle flows. Call at least every 20 ms while `HasPendingWork`,
-  // otherwise at least once a second.
+  // Admits waiting flows, ends waits, upstream checks and owner searches whose
+  // deadline has passed, and removes idle flows. Call at least every 20 ms
+  // while `HasPendingWork`, otherwise at least once a second.
   void Tick(Millis now, SegmentAgentOutput* out);
 
   bool HasPendingWork() const {
-    return !this->upstream_checks.empty() ||
+    return !this->upstream_checks.empty() || !this->waiting.Empty() ||
            this->owner_directory.HasSearches();
   }
 
@@ -127,6 +136,11 @@
   // flows accepted since.
   size_t OpenFlows() const { return this->open_flows; }
   uint32_t BusyFlows() const { return this->busy_flows; }
+  size_t WaitingFlows() const { return this->waiting.Size(); }
+  // Number of flows to have in progress at the upstream.
+  uint32_t FlowLimit() const;
+  // Mean time until a flow that is offered now is admitted.
+  Millis ExpectedWait() const;
 
  private:
   struct Flow {
@@ -137,10 +151,13 @@
     // The upstream has not replied to the first packet in time, so the flow was
     // refused. Packets from the upstream are dropped.
     bool first_reply_timed_out = false;
+    bool waiting = false;   // The first packet is in the admission queue.
     bool accepted = false;  // The upstream has replied to the first packet.
-    // No longer counted in `opening_flows`: the caller has sent a packet after
-    // the first one, or the flow was refused or adopted.
+    // Not counted in `opening_flows`: the flow waits, was refused or adopted,
+    // the caller has sent a packet after the first one, or has not done so in
+    // time.
     bool opened = false;
+    bool answered = false;  // The upstream has answered a request.
     bool caller_closed = false;
     bool upstream_closed = false;
     bool busy = false;  // The upstream is processing a request.
@@ -149,8 +166,10 @@
     uint32_t data_end = 0;  // Sequence number after the caller's last data.
     Endpoint balancer;
     Incarnation incarnation;  // Of the upstream when the flow was opened.
-    Millis opened_at;
+    Millis timeout;           // Of a request.
+    Millis opened_at;         // When the first packet was sent to the upstream.
     Millis busy_since;
+    Millis last_data_at;  // Time of the caller's last new data.
     Millis last_packet_at;
   };
 
@@ -179,6 +198,16 @@
                                   const Endpoint& balancer) const;
   OfferRefusal CheckOffer(Millis now, const SegmentMessage& message,
                           const Segment& segment) const;
+  // Stores an offered flow and adds it to the admission queue.
+  void AddWaitingFlow(Millis now, const SegmentFlow& flow,
+                      const Segment& segment, const SegmentMessage& message);
+  // Sends the first packets of waiting flows to the upstream as far as it has
+  // capacity, and ends the waits of flows whose caller has given up.
+  void AdmitWaiting(Millis now, SegmentAgentOutput* out);
+  void RefuseWaiting(Millis now, SegmentAgentOutput* out);
+  void ExpireOpening(Millis now);
+  void OnUpstreamRestarted();
+  void MeasureAnswer(Millis now, Flow* flow, SegmentAgentOutput* out);
   void OnFlowPacket(Millis now, const Endpoint& from, SegmentMessage message,
                     const Segment& segment, SegmentAgentOutput* out);
   void CheckUpstream(Millis now, const SegmentFlow& flow, const Endpoint& from,
@@ -206,6 +235,9 @@
   void RemoveFlow(const SegmentFlow& flow);
   static bool IsOpen(const Flow& flow, Millis now);
   bool Recovering(Millis now) const;
+  Millis FirstReplyTimeout() const;
+  // Time after which a request without an answer no longer counts as busy.
+  Millis BusyTimeout(const Flow& flow) const;
   uint32_t LoadMilli() const;
 
   SegmentAgentSettings settings;
@@ -226,6 +258,10 @@
     uint64_t shares = 0;
   };
   std::map<Endpoint, LatestListener> latest_listeners;
+  AdmissionQueue waiting;
+  UpstreamCapacity capacity;
+  // Flows whose first packet was sent to the upstream, in that order.
+  std::deque<std::pair<SegmentFlow, Millis>> opening;
   uint32_t busy_flows = 0;
   uint32_t opening_flows = 0;
   size_t open_flows = 0;
--- a/include/cornelhill/segment/segment_messages.h
+++ b/include/cornelhill/segment/segment_messages.h
@@ -76,6 +76,10 @@
   uint64_t listener_shares = 0;   // Offer: hash of the listener's shares.
   uint32_t tries = 0;  // Offer and refusal: number of earlier offers.
   OfferRefusal refusal = OfferRefusal::kNone;
+  // Offer: of the flow's listener.
+  Millis timeout;
+  Millis target_latency;
+  uint32_t priority = 0;
   SegmentFlow flow;  // `kOfferAccepted`, `kNotHeld`, `kOwnerFound`,
                      // `kOwnerUpdate` and `kNoOwner`.
   // Offer: the flow's home agents, which store the address of its owner.
--- a/src/node/sidecar_role.cc
+++ b/src/node/sidecar_role.cc
@@ -90,7 +90,10 @@
     this->runtime.Every(kTickPeriod, [this] { this->Tick(); });
     this->runtime.Every(kCountersPeriod, [this] { this->LogState(); });
     this->runtime.OnDrain([this] {
-      this->agent.Drain();
+      SegmentAgentOutput out;
+      this->agent.Drain(MonotonicNow(), &out);
+      this->HandleOutput(std::move(out));
+      this->Flush();
       this->link.SendHello();
       this->runtime.Every(kDrainPeriod, [this] { this->runtime.Stop(); });
     });
@@ -207,6 +210,10 @@
     for (const Millis time : out.answers) {
       this->metrics.ObserveDuration("cornelhill_node_answer_seconds", time);
     }
+    for (const Millis time : out.waits) {
+      this->metrics.ObserveDuration("cornelhill_node_admission_wait_seconds",
+                                    time);
+    }
     if (this->agent.HasPendingWork()) this->pending_timer.Arm();
   }
 
@@ -214,6 +221,13 @@
     this->metrics.SetGauge("cornelhill_node_flows",
                            static_cast<double>(this->agent.OpenFlows()));
     this->metrics.SetGauge("cornelhill_node_busy", this->agent.BusyFlows());
+    this->metrics.SetGauge("cornelhill_node_waiting",
+                           static_cast<double>(this->agent.WaitingFlows()));
+    this->metrics.SetGauge("cornelhill_node_flow_limit",
+                           this->agent.FlowLimit());
+    this->metrics.SetGauge(
+        "cornelhill_node_expected_wait_seconds",
+        static_cast<double>(this->agent.ExpectedWait().Count()) / 1000);
     this->metrics.SetGauge(
         "cornelhill_node_upstream_state",
         static_cast<double>(this->agent.State(MonotonicNow())));
@@ -239,6 +253,9 @@
     }
     line.Add("state", ToString(decision.state))
         .Add("busy", decision.busy)
+        .Add("waiting", decision.waiting)
+        .Add("flow_limit", decision.flow_limit)
+        .Add("expected_wait_ms", decision.expected_wait.Count())
         .Add("report_age_ms", decision.report_age.Count());
   }
 
@@ -253,7 +270,10 @@
     LogLine("sidecar_state")
         .Add("state", ToString(this->agent.State(MonotonicNow())))
         .Add("open", this->agent.OpenFlows())
-        .Add("busy", this->agent.BusyFlows());
+        .Add("busy", this->agent.BusyFlows())
+        .Add("waiting", this->agent.WaitingFlows())
+        .Add("flow_limit", this->agent.FlowLimit())
+        .Add("expected_wait_ms", this->agent.ExpectedWait().Count());
   }
 
   const NodeSettings& settings;
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -11,23 +11,21 @@
 // The upstream returns a packet within 1 ms; the rest allows for delays in
 // scheduling the agent.
 constexpr Millis kUpstreamCheckPeriod{25};
-// A caller retransmits its first packet after 200 ms. An upstream that has not
-// replied by then is considered down.
-constexpr Millis kFirstReplyTimeout{150};
+// In percent of the delay after which a caller retransmits its first packet. An
+// upstream that has not replied by then is considered down.
+constexpr int64_t kFirstReplyTimeoutPercent = 75;
 // An offer that was refused twice is accepted even if all slots are busy, to
 // bound the caller's wait.
 constexpr uint32_t kMaxBusyRefusals = 2;
 constexpr uint32_t kAllSlotsBusyMilli = 1000;
-// Callers give up opening a flow after 1.4 s.
-constexpr Millis kOpeningTimeout{1500};
+// Time for the last packets of an opening flow after its caller has given up.
+constexpr Millis kOpeningMargin{100};
 // Upstreams close flows that are idle for 12 s; a flow that is idle for longer
 // belongs to a caller that is gone.
 constexpr Millis kFlowIdleTimeout{20000};
 // Time for the last acknowledgements and retransmissions of a closed flow.
 constexpr Millis kClosedFlowLifetime{4000};
 constexpr Millis kSweepPeriod{1000};
-// Requests run for at most 180 ms at the known sites and time out after 5 s.
-constexpr Millis kBusyTimeout{5000};
 // Upstreams start to number their reports at 0 or 1.
 constexpr uint64_t kFirstReportSequence = 1;
 
@@ -41,7 +39,7 @@
   static constexpr std::array<std::string_view, kAgentDecisionKindCount>
       kNames = {"flow_accepted", "offer_refused", "flow_adopted",
                 "flow_returned", "flow_lost",     "malformed",
-                "search_failed"};
+                "search_failed", "wait_ended"};
   return kNames.at(static_cast<size_t>(kind));
 }
 
@@ -65,7 +63,10 @@
       this->report->sequence = next.sequence;
       return true;
     }
-    if (next.incarnation > last.incarnation) this->missed_first_report = false;
+    if (next.incarnation > last.incarnation) {
+      this->missed_first_report = false;
+      this->OnUpstreamRestarted();
+    }
   } else {
     this->missed_first_report = next.sequence > kFirstReportSequence;
   }
@@ -74,6 +75,16 @@
   return true;
 }
 
+// The requests that the last upstream was processing are lost.
+void SegmentAgent::OnUpstreamRestarted() {
+  for (auto& [flow, entry] : this->flows) {
+    this->SetBusy(&entry, false);
+    this->MarkOpened(&entry);
+  }
+  this->opening.clear();
+  this->capacity = {};
+}
+
 void SegmentAgent::OnLeave(const std::string& id) {
   if (!this->report.has_value() || this->report->id != id) return;
   this->report->state = UpstreamState::kGone;
@@ -96,10 +107,39 @@
          this->State(now) != UpstreamState::kUnknown;
 }
 
+Millis SegmentAgent::FirstReplyTimeout() const {
+  return Millis(this->settings.format.retransmission_delay.Count() *
+                kFirstReplyTimeoutPercent / 100);
+}
+
+Millis SegmentAgent::BusyTimeout(const Flow& flow) const {
+  return flow.timeout > Millis() ? flow.timeout : this->settings.flow_lifetime;
+}
+
 uint32_t SegmentAgent::LoadMilli() const {
   const uint32_t slots =
       this->report.has_value() ? this->report->slots : uint32_t{1};
-  return (this->busy_flows + this->opening_flows) * 1000 / std::max(slots, 1U);
+  const auto flow_count = this->busy_flows + this->opening_flows +
+                          static_cast<uint32_t>(this->waiting.Size());
+  return flow_count * 1000 / std::max(slots, 1U);
+}
+
+uint32_t SegmentAgent::FlowLimit() const {
+  const uint32_t slots =
+      this->report.has_value() ? this->report->slots : uint32_t{1};
+  return this->capacity.Limit(std::max(slots, 1U));
+}
+
+Millis SegmentAgent::ExpectedWait() const {
+  const uint32_t slots =
+      this->report.has_value() ? this->report->slots : uint32_t{1};
+  return this->capacity.TimeToServe(static_cast<uint32_t>(this->waiting.Size()),
+                                    std::max(slots, 1U));
+}
+
+void SegmentAgent::Drain(Millis now, SegmentAgentOutput* out) {
+  this->draining = true;
+  this->AdmitWaiting(now, out);
 }
 
 AgentRecord SegmentAgent::Record(Millis now) const {
@@ -197,28 +237,104 @@
   }
   if (this->FindOpenedBy(flow, segment) == nullptr) {
     this->RemoveFlow(flow);
-    Flow& added = this->flows[flow];
-    added.first_sequence = segment.sequence;
-    added.first_sequence_known = true;
-    added.data_end = segment.sequence;
-    added.incarnation = this->report->incarnation;
-    added.opened_at = now;
-    added.tries = message.tries;
-    ++this->opening_flows;
-    ++this->open_flows;
+    this->AddWaitingFlow(now, flow, segment, message);
     out->decisions.push_back(decision);
     this->NotifyHomeAgents(flow, message.agents, out);
+  } else if (this->flows[flow].waiting) {
+    this->waiting.Replace(flow, std::move(message.datagram));
+  } else {
+    out->upstream.push_back(std::move(message.datagram));
   }
   Flow& entry = this->flows[flow];
   entry.balancer = from;
   entry.last_packet_at = now;
+  this->AdmitWaiting(now, out);
   SegmentMessage reply;
   reply.kind = SegmentMessageKind::kOfferAccepted;
   reply.flow = flow;
-  out->upstream.push_back(std::move(message.datagram));
   this->Reply(now, from, std::move(reply), out);
 }
 
+void SegmentAgent::AddWaitingFlow(Millis now, const SegmentFlow& flow,
+                                  const Segment& segment,
+                                  const SegmentMessage& message) {
+  Flow& added = this->flows[flow];
+  added.first_sequence = segment.sequence;
+  added.first_sequence_known = true;
+  added.data_end = segment.sequence;
+  added.incarnation = this->report->incarnation;
+  added.waiting = true;
+  added.opened = true;
+  added.opened_at = now;
+  added.tries = message.tries;
+  added.timeout = message.timeout;
+  ++this->open_flows;
+  this->waiting.Push({flow, message.datagram, now - segment.age,
+                      message.target_latency, message.priority});
+}
+
+void SegmentAgent::AdmitWaiting(Millis now, SegmentAgentOutput* out) {
+  if (this->waiting.Empty()) return;
+  if (this->State(now) != UpstreamState::kReady) {
+    this->RefuseWaiting(now, out);
+    return;
+  }
+  const Millis given_up = now - this->settings.format.opening_timeout;
+  for (const WaitingFlow& ended : this->waiting.TakeSentBefore(given_up)) {
+    AgentDecision decision = this->MakeOfferDecision(
+        now, ended.flow, OfferRefusal::kNone, this->flows[ended.flow].balancer);
+    decision.kind = AgentDecisionKind::kWaitEnded;
+    out->decisions.push_back(decision);
+    this->RemoveFlow(ended.flow);
+  }
+  this->ExpireOpening(now);
+  while (this->busy_flows + this->opening_flows < this->FlowLimit()) {
+    std::optional<WaitingFlow> next =
+        this->waiting.Pop(now, this->capacity.ResponseTime());
+    if (!next.has_value()) return;
+    Flow& flow = this->flows[next->flow];
+    flow.waiting = false;
+    flow.opened = false;
+    flow.incarnation = this->report->incarnation;
+    out->waits.push_back(now - flow.opened_at);
+    flow.opened_at = now;
+    ++this->opening_flows;
+    this->opening.emplace_back(next->flow, now);
+    out->upstream.push_back(std::move(next->datagram));
+  }
+}
+
+void SegmentAgent::RefuseWaiting(Millis now, SegmentAgentOutput* out) {
+  for (WaitingFlow& refused : this->waiting.TakeAll()) {
+    const Flow entry = this->flows[refused.flow];
+    this->RemoveFlow(refused.flow);
+    out->decisions.push_back(this->MakeOfferDecision(
+        now, refused.flow, OfferRefusal::kNotReady, entry.balancer));
+    SegmentMessage message;
+    message.kind = SegmentMessageKind::kOfferRefused;
+    message.refusal = OfferRefusal::kNotReady;
+    message.datagram = std::move(refused.datagram);
+    message.service = this->service;
+    message.tries = entry.tries;
+    this->Reply(now, entry.balancer, std::move(message), out);
+  }
+}
+
+// A caller that has not continued its flow after the second copy of the first
+// packet has opened it elsewhere or is gone; it takes no capacity.
+void SegmentAgent::ExpireOpening(Millis now) {
+  const Millis limit = now - this->settings.format.retransmission_delay -
+                       this->capacity.ResponseTime();
+  while (!this->opening.empty() && this->opening.front().second < limit) {
+    const auto found = this->flows.find(this->opening.front().first);
+    if (found != this->flows.end() &&
+        found->second.opened_at == this->opening.front().second) {
+      this->MarkOpened(&found->second);
+    }
+    this->opening.pop_front();
+  }
+}
+
 const SegmentAgent::Flow* SegmentAgent::FindOpenedBy(
     const SegmentFlow& flow, const Segment& first_packet) const {
   const auto found = this->flows.find(flow);
@@ -241,6 +357,9 @@
           refusal,
           this->State(now),
           this->busy_flows,
+          this->waiting.Size(),
+          this->FlowLimit(),
+          this->ExpectedWait(),
           now - this->reported_at,
           balancer};
 }
@@ -249,7 +368,8 @@
                                       const Segment& segment) const {
   const SegmentFlow flow{segment.source, segment.destination};
   if (const Flow* known = this->FindOpenedBy(flow, segment)) {
-    if (!known->accepted && now - known->opened_at > kFirstReplyTimeout) {
+    if (!known->waiting && !known->accepted &&
+        now - known->opened_at > this->FirstReplyTimeout()) {
       return OfferRefusal::kUnresponsive;
     }
     return OfferRefusal::kNone;
@@ -363,11 +483,26 @@
     out->first_replies.push_back(now - entry.opened_at);
   }
   if (segment.data_bytes > 0 && entry.busy) {
+    this->MeasureAnswer(now, &entry, out);
+    this->SetBusy(&entry, false);
+  }
+  if (segment.closes || segment.resets) {
+    entry.upstream_closed = true;
     this->SetBusy(&entry, false);
-    out->answers.push_back(now - entry.busy_since);
   }
-  if (segment.closes || segment.resets) entry.upstream_closed = true;
   out->callers.push_back({flow.caller, std::move(datagram)});
+  this->AdmitWaiting(now, out);
+}
+
+void SegmentAgent::MeasureAnswer(Millis now, Flow* flow,
+                                 SegmentAgentOutput* out) {
+  out->answers.push_back(now - flow->busy_since);
+  this->capacity.OnAnswer(now - flow->last_data_at);
+  const bool admitted_here = flow->first_sequence_known;
+  if (!flow->answered && admitted_here) {
+    this->capacity.OnRequestReceived(flow->last_data_at - flow->opened_at);
+  }
+  flow->answered = true;
 }
 
 SegmentAgent::Flow& SegmentAgent::Adopt(Millis now, const SegmentFlow& flow,
@@ -469,6 +604,7 @@
   if (flow->data_seen && !IsAfter(end, flow->data_end)) return;
   flow->data_seen = true;
   flow->data_end = end;
+  flow->last_data_at = now;
   if (!flow->busy) flow->busy_since = now;
   this->SetBusy(flow, true);
 }
@@ -490,6 +626,7 @@
   if (found == this->flows.end()) return;
   this->SetBusy(&found->second, false);
   this->MarkOpened(&found->second);
+  if (found->second.waiting) this->waiting.Remove(flow);
   this->flows.erase(found);
 }
 
@@ -504,6 +641,7 @@
     if (now >= check.deadline) owned.push_back(flow);
   }
   for (const SegmentFlow& flow : owned) this->Adopt(now, flow, out);
+  this->AdmitWaiting(now, out);
   for (const auto& failed : this->owner_directory.Tick(now, &out->peers)) {
     AgentDecision decision{AgentDecisionKind::kSearchFailed, failed.flow};
     decision.balancer = failed.balancer;
@@ -519,11 +657,13 @@
     const bool ended = entry.first_reply_timed_out ||
                        (entry.caller_closed && entry.upstream_closed);
     const bool unopened =
-        !entry.opened && now - entry.opened_at > kOpeningTimeout;
+        !entry.opened &&
+        now - entry.opened_at >
+            this->settings.format.opening_timeout + kOpeningMargin;
     if (unopened ||
         idle > (ended ? kClosedFlowLifetime : this->settings.flow_lifetime)) {
       expired.push_back(flow);
-    } else if (entry.busy && idle > kBusyTimeout) {
+    } else if (entry.busy && idle > this->BusyTimeout(entry)) {
       this->SetBusy(&entry, false);
     }
   }
--- a/src/segment/segment_balancer.cc
+++ b/src/segment/segment_balancer.cc
@@ -225,6 +225,9 @@
   if (listener != nullptr) {
     message.service = ListenerTable::PickService(*listener, flow);
     message.listener_shares = HashShares(*listener);
+    message.timeout = listener->timeout;
+    message.target_latency = listener->target_latency;
+    message.priority = listener->priority;
   }
   message.tries = entry.tries;
   message.load_milli = load_limit_milli;
--- a/src/segment/segment_messages.cc
+++ b/src/segment/segment_messages.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr uint32_t kNodeProtocolVersion = 1;
+// A bound on received durations, so that sums of times cannot overflow.
+constexpr uint64_t kMaxMillis = 3600000;
 // A packet of 1,232 bytes and the other fields.
 constexpr size_t kMaxSegmentMessageBytes = 4096;
 // A whole listener table of 512 KiB and the agent directory.
@@ -224,6 +226,9 @@
     out.add_agents(PackEndpoint(agent));
   }
   out.set_silent_agents(message.silent_agent_count);
+  out.set_timeout_ms(static_cast<uint64_t>(message.timeout.Count()));
+  out.set_target_ms(static_cast<uint64_t>(message.target_latency.Count()));
+  out.set_priority(message.priority);
   if (message.requester != Endpoint()) {
     out.set_asker(PackEndpoint(message.requester));
   }
@@ -261,6 +266,13 @@
     return Malformed("message states more silent agents than it lists agents");
   }
   out.silent_agent_count = in.silent_agents();
+  if (in.timeout_ms() > kMaxMillis || in.target_ms() > kMaxMillis) {
+    return Malformed("offer states a time above " + std::to_string(kMaxMillis) +
+                     " ms");
+  }
+  out.timeout = Millis(static_cast<int64_t>(in.timeout_ms()));
+  out.target_latency = Millis(static_cast<int64_t>(in.target_ms()));
+  out.priority = in.priority();
   BOOST_OUTCOME_TRY(requester, UnpackEndpoint(in.asker()));
   out.requester = requester;
   out.kind = static_cast<SegmentMessageKind>(in.kind());
--- a/tests/platform/packet_format_test.cc
+++ b/tests/platform/packet_format_test.cc
@@ -58,6 +58,23 @@
   cr_assert_eq(packet[16], '\x02');
 }
 
+// Fails if a copy of a first packet counts as new: its caller has waited since
+// the first one.
+Test(packet_format, reads_the_age_of_a_first_packet) {
+  std::string packet(32, '\0');
+  packet[16] = '\x10';
+  const int64_t ages[] = {0, 200, 600, 600};
+  for (char copies = 0; copies < 4; ++copies) {
+    packet[31] = copies;
+    cr_assert_eq(Format().read(packet).value().age.Count(), ages[copies]);
+  }
+  packet[28] = '\xff';
+  cr_assert_eq(Format().read(packet).value().age.Count(), 600);
+  packet[16] = '\x12';
+  cr_assert_eq(Format().read(packet).value().age.Count(), 0,
+               "the upstream's reply has an acknowledgement in this field");
+}
+
 Test(packet_format, rejects_malformed_packets) {
   cr_assert_not(Format().read("").has_value());
   cr_assert_not(Format().read(std::string(31, '\0')).has_value());
--- a/tests/segment/segment_messages_test.cc
+++ b/tests/segment/segment_messages_test.cc
@@ -23,6 +23,9 @@
   message.silent_agent_count = 1;
   message.requester = {0x0a000101, 7081};
   message.state = UpstreamState::kDraining;
+  message.timeout = Millis(2000);
+  message.target_latency = Millis(250);
+  message.priority = 3;
   return message;
 }
 
--- a/tests/segment/segment_path_test.cc
+++ b/tests/segment/segment_path_test.cc
@@ -43,6 +43,8 @@
     network.Send(0, FirstPacket(CallerAt(port)));
     cr_assert_neq(network.OwnerOf(CallerAt(port)), owner);
     cr_assert_neq(network.OwnerOf(CallerAt(port)), -1);
+    // A flow that its caller does not continue occupies the upstream.
+    network.Send(0, DataPacket(CallerAt(port)));
   }
   // The open flow continues.
   network.Send(1, DataPacket(CallerAt(1)));
@@ -127,6 +129,7 @@
   for (uint16_t port = 1; port <= 10; ++port) {
     network.Send(0, FirstPacket(CallerAt(port)));
     cr_assert_eq(network.OwnerOf(CallerAt(port)), 2);
+    network.Send(0, DataPacket(CallerAt(port)));
   }
   cr_assert_eq(network.Resets(), 0U);
 }
