Split admission out of the segment agent's source file

Cause: segment_agent.cc had grown to 690 lines, two functions wrote the same refusal of an accepted offer, and four places derived the number of slots.

Change: admission moves to segment_agent_admission.cc, RefuseAccepted and Slots replace what stood twice.

--- a/include/cornelhill/segment/segment_agent.h
+++ b/include/cornelhill/segment/segment_agent.h
@@ -107,7 +107,8 @@
   // in its last report.
   void OnLeave(const std::string& id);
 
-  // Refuses new flows from now on, and flows that wait.
+  // Refuses new flows from now on, and sends waiting flows back to their
+  // balancers.
   void Drain(Millis now, SegmentAgentOutput* out);
 
   // Handles a message from the balancer or agent at `from`.
@@ -167,7 +168,8 @@
     Endpoint balancer;
     Incarnation incarnation;  // Of the upstream when the flow was opened.
     Millis timeout;           // Of a request.
-    Millis opened_at;         // When the first packet was sent to the upstream.
+    // When the first packet was sent to the upstream, or was queued.
+    Millis opened_at;
     Millis busy_since;
     Millis last_data_at;  // Time of the caller's last new data.
     Millis last_packet_at;
@@ -204,9 +206,16 @@
   // Sends the first packets of waiting flows to the upstream as far as it has
   // capacity, and ends the waits of flows whose caller has given up.
   void AdmitWaiting(Millis now, SegmentAgentOutput* out);
+  // Sends all waiting flows back to their balancers.
   void RefuseWaiting(Millis now, SegmentAgentOutput* out);
+  // Sends a flow whose offer was accepted back to its balancer.
+  void RefuseAccepted(Millis now, const SegmentFlow& flow, OfferRefusal refusal,
+                      std::string datagram, SegmentAgentOutput* out);
+  // Removes flows from the count of opening flows that their callers have not
+  // continued in time.
   void ExpireOpening(Millis now);
   void OnUpstreamRestarted();
+  // Records the service time of an answered request.
   void MeasureAnswer(Millis now, Flow* flow, SegmentAgentOutput* out);
   void OnFlowPacket(Millis now, const Endpoint& from, SegmentMessage message,
                     const Segment& segment, SegmentAgentOutput* out);
@@ -238,6 +247,7 @@
   Millis FirstReplyTimeout() const;
   // Time after which a request without an answer no longer counts as busy.
   Millis BusyTimeout(const Flow& flow) const;
+  uint32_t Slots() const;
   uint32_t LoadMilli() const;
 
   SegmentAgentSettings settings;
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -75,16 +75,6 @@
   return true;
 }
 
-// The requests that the last upstream was processing are lost.
-void SegmentAgent::OnUpstreamRestarted() {
-  for (auto& [flow, entry] : this->flows) {
-    this->SetBusy(&entry, false);
-    this->MarkOpened(&entry);
-  }
-  this->opening.clear();
-  this->capacity = {};
-}
-
 void SegmentAgent::OnLeave(const std::string& id) {
   if (!this->report.has_value() || this->report->id != id) return;
   this->report->state = UpstreamState::kGone;
@@ -116,30 +106,14 @@
   return flow.timeout > Millis() ? flow.timeout : this->settings.flow_lifetime;
 }
 
+uint32_t SegmentAgent::Slots() const {
+  return this->report.has_value() ? std::max(this->report->slots, 1U) : 1;
+}
+
 uint32_t SegmentAgent::LoadMilli() const {
-  const uint32_t slots =
-      this->report.has_value() ? this->report->slots : uint32_t{1};
   const auto flow_count = this->busy_flows + this->opening_flows +
                           static_cast<uint32_t>(this->waiting.Size());
-  return flow_count * 1000 / std::max(slots, 1U);
-}
-
-uint32_t SegmentAgent::FlowLimit() const {
-  const uint32_t slots =
-      this->report.has_value() ? this->report->slots : uint32_t{1};
-  return this->capacity.Limit(std::max(slots, 1U));
-}
-
-Millis SegmentAgent::ExpectedWait() const {
-  const uint32_t slots =
-      this->report.has_value() ? this->report->slots : uint32_t{1};
-  return this->capacity.TimeToServe(static_cast<uint32_t>(this->waiting.Size()),
-                                    std::max(slots, 1U));
-}
-
-void SegmentAgent::Drain(Millis now, SegmentAgentOutput* out) {
-  this->draining = true;
-  this->AdmitWaiting(now, out);
+  return flow_count * 1000 / this->Slots();
 }
 
 AgentRecord SegmentAgent::Record(Millis now) const {
@@ -150,7 +124,7 @@
   record.state = this->State(now);
   if (this->report.has_value()) {
     record.incarnation = this->report->incarnation;
-    record.slots = std::max(this->report->slots, 1U);
+    record.slots = this->Slots();
   }
   record.load_milli = this->LoadMilli();
   record.open_flows = static_cast<uint32_t>(this->OpenFlows());
@@ -255,86 +229,6 @@
   this->Reply(now, from, std::move(reply), out);
 }
 
-void SegmentAgent::AddWaitingFlow(Millis now, const SegmentFlow& flow,
-                                  const Segment& segment,
-                                  const SegmentMessage& message) {
-  Flow& added = this->flows[flow];
-  added.first_sequence = segment.sequence;
-  added.first_sequence_known = true;
-  added.data_end = segment.sequence;
-  added.incarnation = this->report->incarnation;
-  added.waiting = true;
-  added.opened = true;
-  added.opened_at = now;
-  added.tries = message.tries;
-  added.timeout = message.timeout;
-  ++this->open_flows;
-  this->waiting.Push({flow, message.datagram, now - segment.age,
-                      message.target_latency, message.priority});
-}
-
-void SegmentAgent::AdmitWaiting(Millis now, SegmentAgentOutput* out) {
-  if (this->waiting.Empty()) return;
-  if (this->State(now) != UpstreamState::kReady) {
-    this->RefuseWaiting(now, out);
-    return;
-  }
-  const Millis given_up = now - this->settings.format.opening_timeout;
-  for (const WaitingFlow& ended : this->waiting.TakeSentBefore(given_up)) {
-    AgentDecision decision = this->MakeOfferDecision(
-        now, ended.flow, OfferRefusal::kNone, this->flows[ended.flow].balancer);
-    decision.kind = AgentDecisionKind::kWaitEnded;
-    out->decisions.push_back(decision);
-    this->RemoveFlow(ended.flow);
-  }
-  this->ExpireOpening(now);
-  while (this->busy_flows + this->opening_flows < this->FlowLimit()) {
-    std::optional<WaitingFlow> next =
-        this->waiting.Pop(now, this->capacity.ResponseTime());
-    if (!next.has_value()) return;
-    Flow& flow = this->flows[next->flow];
-    flow.waiting = false;
-    flow.opened = false;
-    flow.incarnation = this->report->incarnation;
-    out->waits.push_back(now - flow.opened_at);
-    flow.opened_at = now;
-    ++this->opening_flows;
-    this->opening.emplace_back(next->flow, now);
-    out->upstream.push_back(std::move(next->datagram));
-  }
-}
-
-void SegmentAgent::RefuseWaiting(Millis now, SegmentAgentOutput* out) {
-  for (WaitingFlow& refused : this->waiting.TakeAll()) {
-    const Flow entry = this->flows[refused.flow];
-    this->RemoveFlow(refused.flow);
-    out->decisions.push_back(this->MakeOfferDecision(
-        now, refused.flow, OfferRefusal::kNotReady, entry.balancer));
-    SegmentMessage message;
-    message.kind = SegmentMessageKind::kOfferRefused;
-    message.refusal = OfferRefusal::kNotReady;
-    message.datagram = std::move(refused.datagram);
-    message.service = this->service;
-    message.tries = entry.tries;
-    this->Reply(now, entry.balancer, std::move(message), out);
-  }
-}
-
-// A caller that has not continued its flow after the second copy of the first
-// packet has opened it elsewhere or is gone; it takes no capacity.
-void SegmentAgent::ExpireOpening(Millis now) {
-  const Millis limit = now - this->settings.format.retransmission_delay -
-                       this->capacity.ResponseTime();
-  while (!this->opening.empty() && this->opening.front().second < limit) {
-    const auto found = this->flows.find(this->opening.front().first);
-    if (found != this->flows.end() &&
-        found->second.opened_at == this->opening.front().second) {
-      this->MarkOpened(&found->second);
-    }
-    this->opening.pop_front();
-  }
-}
-
 const SegmentAgent::Flow* SegmentAgent::FindOpenedBy(
     const SegmentFlow& flow, const Segment& first_packet) const {
   const auto found = this->flows.find(flow);
@@ -494,17 +388,6 @@
   this->AdmitWaiting(now, out);
 }
 
-void SegmentAgent::MeasureAnswer(Millis now, Flow* flow,
-                                 SegmentAgentOutput* out) {
-  out->answers.push_back(now - flow->busy_since);
-  this->capacity.OnAnswer(now - flow->last_data_at);
-  const bool admitted_here = flow->first_sequence_known;
-  if (!flow->answered && admitted_here) {
-    this->capacity.OnRequestReceived(flow->last_data_at - flow->opened_at);
-  }
-  flow->answered = true;
-}
-
 SegmentAgent::Flow& SegmentAgent::Adopt(Millis now, const SegmentFlow& flow,
                                         SegmentAgentOutput* out) {
   Flow& entry = this->flows[flow];
@@ -572,17 +455,23 @@
                                    SegmentAgentOutput* out) {
   const auto found = this->flows.find(flow);
   if (found == this->flows.end() || found->second.accepted) return;
-  const Endpoint balancer = found->second.balancer;
-  const uint32_t tries = found->second.tries;
-  this->RemoveFlow(flow);
-  out->decisions.push_back(
-      this->MakeOfferDecision(now, flow, OfferRefusal::kFull, balancer));
+  this->RefuseAccepted(now, flow, OfferRefusal::kFull, std::move(datagram),
+                       out);
+}
+
+void SegmentAgent::RefuseAccepted(Millis now, const SegmentFlow& flow,
+                                  OfferRefusal refusal, std::string datagram,
+                                  SegmentAgentOutput* out) {
+  const Endpoint balancer = this->flows[flow].balancer;
   SegmentMessage message;
   message.kind = SegmentMessageKind::kOfferRefused;
-  message.refusal = OfferRefusal::kFull;
+  message.refusal = refusal;
   message.datagram = std::move(datagram);
   message.service = this->service;
-  message.tries = tries;
+  message.tries = this->flows[flow].tries;
+  this->RemoveFlow(flow);
+  out->decisions.push_back(
+      this->MakeOfferDecision(now, flow, refusal, balancer));
   this->Reply(now, balancer, std::move(message), out);
 }
 
--- a/tests/platform/packet_format_test.cc
+++ b/tests/platform/packet_format_test.cc
@@ -1,5 +1,8 @@
 #include <criterion/criterion.h>
 
+#include <string>
+#include <vector>
+
 #include "cornelhill/base/random.h"
 #include "cornelhill/segment/segment.h"
 
@@ -63,9 +66,9 @@
 Test(packet_format, reads_the_age_of_a_first_packet) {
   std::string packet(32, '\0');
   packet[16] = '\x10';
-  const int64_t ages[] = {0, 200, 600, 600};
-  for (char copies = 0; copies < 4; ++copies) {
-    packet[31] = copies;
+  const std::vector<int64_t> ages = {0, 200, 600, 600};
+  for (size_t copies = 0; copies < ages.size(); ++copies) {
+    packet[31] = static_cast<char>(copies);
     cr_assert_eq(Format().read(packet).value().age.Count(), ages[copies]);
   }
   packet[28] = '\xff';
