Remove an inactive fourth core member after six seconds

In each the machine of a core member was replaced: the successor joined as fourth voter at 4.7 s, the old member stopped for good at 7.5 s, and the leader of 8.2 s first saw all four voters at once. CoreMembership takes a voter for a replacement only if it was promoted after the inactive one was last active, which that leader had not seen, so it waited 40 s. Until then the group of four had a quorum of three and tolerated no failure. The final fault took one disk: two of four voters were left, which never elected a leader.

Ruled out: admission, which is not involved (no leader, no listeners); the log, which both members opened with all that was acknowledged.

Change: an inactive voter of a group of four is removed after the time for replaced voters. core_membership::a_fourth_voter_does_not_keep_an_inactive_one fails without it (no change within 10 s).

Within the first six seconds after the old member left the group still tolerates no failure.

--- a/include/cornelhill/control/core_membership.h
+++ b/include/cornelhill/control/core_membership.h
@@ -17,7 +17,8 @@
 constexpr size_t kMinVoters = 3;
 
 // Inactivity after which a voter is removed if another voter was promoted in
-// the meantime. A member that restarts is usually back sooner.
+// the meantime, or if the group tolerates more failures without it. A member
+// that restarts is usually back sooner.
 constexpr Millis kReplacedVoterTimeout{6000};
 
 // Inactivity after which a voter is removed if no other was promoted under this
--- a/src/control/core_membership.cc
+++ b/src/control/core_membership.cc
@@ -80,7 +80,10 @@
     if (!old.voter && this->InactiveLongerThan(now, old.id, kLearnerTimeout)) {
       return RemoveMember{old.id};
     }
-    const Millis timeout = this->HasReplacement(old.id)
+    // A group of four has a quorum of three, so with an inactive voter it
+    // tolerates no failure; without that voter it tolerates one.
+    const bool is_surplus = voters == kMinVoters + 1;
+    const Millis timeout = is_surplus || this->HasReplacement(old.id)
                                ? kReplacedVoterTimeout
                                : kUnreplacedVoterTimeout;
     if (old.voter && voters > kMinVoters &&
--- a/tests/control/core_membership_test.cc
+++ b/tests/control/core_membership_test.cc
@@ -63,6 +63,27 @@
   cr_assert_eq(std::get<RemoveMember>(*change).id.Value(), 3U);
 }
 
+// Guards against a group that tolerates no failure: a replacement had joined as
+// fourth voter, the replaced member then left for good, and a new leader, which
+// had seen neither, kept it for 40 s. The loss of one more disk in that time
+// left two of four voters, so the group never had a leader again.
+Test(core_membership, a_fourth_voter_does_not_keep_an_inactive_one) {
+  CoreMembership membership;
+  ReplicaStatus status = Leading({{MemberId(1), true, 0, Address(1, 1)},
+                                  {MemberId(2), true, 0, Address(2, 2)},
+                                  {MemberId(3), true, 0, Address(3, 3)},
+                                  {MemberId(4), true, 0, Address(4, 4)}});
+  status.members[2].active = false;
+  std::optional<MembershipChange> change;
+  Millis now;
+  for (; !change.has_value() && now < Millis(10000); now += Millis(500)) {
+    change = membership.NextChange(now, status);
+  }
+  cr_assert(change.has_value());
+  cr_assert_eq(std::get<RemoveMember>(*change).id.Value(), 3U);
+  cr_assert_gt(now, kReplacedVoterTimeout, "a restart takes less time");
+}
+
 // Guards against a partition that disconnects two of six members reducing the
 // number of failures that the group tolerates although no other member has
 // replaced them.
