Draw the halves of a request ID in separate statements

Cause: OperatorSession::Begin drew both random numbers among the arguments of one snprintf. Their order of evaluation is unspecified: g++ takes the last one first on x86-64 and the first one first on arm64, so a seed gave other request IDs on each, and session::two_operators_race failed on arm64 against its golden file.

Change: the low half is drawn first and the high half second, each in a statement of its own, and then both are formatted. On x86-64 the IDs stay as they were; test and golden file are unchanged.

Result: scripts/test on arm64 ended with status 0: 15 of 15 release test programs and 15 of 15 sanitizer test programs passed, lint was clean. Not run on x86-64.

--- a/src/control/operator_session.cc
+++ b/src/control/operator_session.cc
@@ -122,12 +122,15 @@
 
 AddressedOperatorRequest OperatorSession::Begin(Millis now,
                                                 OperatorRequest request) {
+  // Not drawn among the arguments below, whose evaluation order is unspecified:
+  // a seed gives the same IDs on every architecture.
+  const uint64_t low = this->random.Next();
+  const uint64_t high = this->random.Next();
   std::array<char, 33> id{};
-  std::snprintf(id.data(), id.size(), "%016llx%016llx",
-                static_cast<unsigned long long>(  // NOLINT(google-runtime-int)
-                    this->random.Next()),
-                static_cast<unsigned long long>(  // NOLINT(google-runtime-int)
-                    this->random.Next()));
+  std::snprintf(
+      id.data(), id.size(), "%016llx%016llx",
+      static_cast<unsigned long long>(high),  // NOLINT(google-runtime-int)
+      static_cast<unsigned long long>(low));  // NOLINT(google-runtime-int)
   request.request_id = id.data();
   request.operator_name = this->operator_name;
   this->pending = std::move(request);
