Review: the harness signals only processes that it still has

Cause: a process that has ended has the ID 0 in the harness. If case 4's kill came too late, the next attempt signalled ID 0, which kills the script's own process group. Seen in a run from a clean clone: the script and its caller ended without a result. Case 3 waited for a killed server past the list of started processes, so its ID could have been signalled again at the end.

Change: Signal ignores an ended process, WaitEnd returns at once for it, and case 3 ends a server through the harness.

--- a/review/standin/foreign_reset.cpp
+++ b/review/standin/foreign_reset.cpp
@@ -290,8 +290,7 @@
     if (step == 0 && time >= kServerCrashesAt) {
       ++step;
       if (Trouble()) {
-        kill(servers[0].pid, SIGKILL);
-        waitpid(servers[0].pid, nullptr, 0);
+        Kill(servers[0].pid);
         Record("server " + servers[0].id + " crashed");
         crashed.insert(servers[0].id);
         disturbed[sidecars[0].ip] = now;
--- a/review/standin/harness.cpp
+++ b/review/standin/harness.cpp
@@ -214,9 +214,21 @@
 
 void Adopt(pid_t pid) { started.push_back(pid); }
 
-void Signal(const Machine& machine, int signal) { kill(machine.pid, signal); }
+void Kill(pid_t pid) {
+  if (std::find(started.begin(), started.end(), pid) == started.end()) return;
+  kill(pid, SIGKILL);
+  waitpid(pid, nullptr, 0);
+  started.erase(std::remove(started.begin(), started.end(), pid),
+                started.end());
+}
+
+// A process that has ended has the ID 0, which would name this process's group.
+void Signal(const Machine& machine, int signal) {
+  if (machine.pid > 0) kill(machine.pid, signal);
+}
 
 bool WaitEnd(Machine* machine, long timeout_ms) {
+  if (machine->pid <= 0) return true;
   const long until = Now() + timeout_ms;
   do {
     const pid_t ended = waitpid(machine->pid, nullptr, WNOHANG);
@@ -231,10 +243,6 @@
   return false;
 }
 
-bool Running(const Machine& machine) {
-  return machine.pid != 0 && waitpid(machine.pid, nullptr, WNOHANG) == 0;
-}
-
 void LoseDisk(Machine* machine) {
   Signal(*machine, SIGKILL);
   WaitEnd(machine, 1000);
--- a/review/standin/harness.hpp
+++ b/review/standin/harness.hpp
@@ -74,10 +74,11 @@
 void Start(Machine* machine, const std::vector<Machine>& seeds, bool bootstrap);
 // Has `Finish` end this process too.
 void Adopt(pid_t pid);
+// Kills a process that was started or adopted, and waits for its end.
+void Kill(pid_t pid);
 void Signal(const Machine& machine, int signal);
 // Waits until the process has ended; returns false after `timeout_ms`.
 bool WaitEnd(Machine* machine, long timeout_ms);
-bool Running(const Machine& machine);
 // A kill and the loss of the disk.
 void LoseDisk(Machine* machine);
 
