Remove a core member from the group when it shuts down

Cause: a member that shut down stayed a voter. CoreMembership removes an inactive voter early only if another one was promoted after it was last active, and a planned successor is promoted before. Four voters with one gone need three; with one disk less, two are left.

Change: a member that gets SIGTERM asks the leader to remove it and ends when that is committed, at the latest 500 ms before the end of the grace period. It asks while the group has more than 2f + 1 voters (f: the new setting tolerated_failures, from the deployment's fault tolerance) or has a learner. A leader removes itself, then hands over. Without SIGTERM, an inactive voter of any group with an even number of voters is removed after 2 s: 2n voters tolerate as many failures as 2n - 1.

Ruled out: loss of entries (both remaining members held version 9).

Related paths: the control instances of the first roles are a fixed list whose members are replaced at their own address only, where the old one is removed.

--- a/include/cornelhill/config/node_settings.h
+++ b/include/cornelhill/config/node_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -38,6 +39,8 @@
   std::optional<Endpoint> upstream;
   std::string data_directory;
   bool bootstrap = false;
+  // Core members that may be lost at the same time.
+  size_t tolerated_failures = 1;
   Millis grace{6000};
   Millis flow_lifetime{60000};
   Millis heartbeat{1200};
--- a/include/cornelhill/segment/segment_messages.h
+++ b/include/cornelhill/segment/segment_messages.h
@@ -132,11 +132,13 @@
   bool complete = false;
 };
 
-// From a core member that has no member id or may have been removed.
+// From a core member that has no member id, may have been removed or shuts
+// down.
 struct CoreJoin {
   std::string address;
   uint64_t token = 0;
   uint64_t member = 0;
+  bool leaving = false;  // Asks to be removed.
 };
 
 struct CoreJoinReply {
--- a/src/config/node_settings.cc
+++ b/src/config/node_settings.cc
@@ -15,6 +15,8 @@
 constexpr int64_t kMaxMillis = 3600000;
 constexpr int64_t kMaxPort = 65000;
 
+constexpr int64_t kMaxToleratedFailures = 1000;
+
 // Reads fields and remembers the first fault and which fields were asked for.
 class FieldReader {
  public:
@@ -163,6 +165,8 @@
   if (core) {
     out.data_directory = reader.Text("data_directory", false);
     out.bootstrap = reader.Flag("bootstrap");
+    out.tolerated_failures = static_cast<size_t>(
+        reader.Number("tolerated_failures", 1, 0, kMaxToleratedFailures));
   }
   out.grace = Millis(reader.Number("grace_ms", 6000, 500, kMaxMillis));
   out.flow_lifetime =
--- a/src/control/core_membership.cc
+++ b/src/control/core_membership.cc
@@ -30,6 +30,41 @@
   return out;
 }
 
+size_t MinVotersFor(size_t tolerated_failures) {
+  return std::max(kMinVoters, 2 * tolerated_failures + 1);
+}
+
+DepartureStep NextDepartureStep(const ReplicaStatus& status, Millis elapsed,
+                                Millis limit, size_t min_voters) {
+  if (elapsed >= limit) return DepartureStep::kStop;
+  const Membership& group = status.membership;
+  const bool removed = FindMember(group, status.self) == nullptr;
+  if (removed) {
+    return status.change_in_flight ? DepartureStep::kWait
+                                   : DepartureStep::kStop;
+  }
+  // A learner is about to become a voter, perhaps as the successor of this one.
+  const bool has_learner = VoterCount(group) < group.members.size();
+  if (has_learner || VoterCount(group) > min_voters) {
+    return DepartureStep::kRequestRemoval;
+  }
+  return elapsed < kDepartureDelay ? DepartureStep::kWait
+                                   : DepartureStep::kStop;
+}
+
+std::optional<MembershipChange> CoreMembership::ChangeForDeparture(
+    const ReplicaStatus& status, MemberId id) const {
+  if (status.role != ReplicaRole::kLeader || status.change_in_flight) {
+    return std::nullopt;
+  }
+  const Member* member = FindMember(status.membership, id);
+  if (member == nullptr) return std::nullopt;
+  if (member->voter && VoterCount(status.membership) <= this->min_voters) {
+    return std::nullopt;
+  }
+  return RemoveMember{id};
+}
+
 bool CoreMembership::InactiveLongerThan(Millis now, MemberId id,
                                         Millis timeout) const {
   const auto found = this->last_active.find(id);
@@ -80,9 +115,7 @@
     if (!old.voter && this->InactiveLongerThan(now, old.id, kLearnerTimeout)) {
       return RemoveMember{old.id};
     }
-    // A group of four has a quorum of three, so with an inactive voter it
-    // tolerates no failure; without that voter it tolerates one.
-    const bool is_surplus = voters == kMinVoters + 1;
+    const bool is_surplus = voters % 2 == 0;
     const Millis timeout = is_surplus || this->HasReplacement(old.id)
                                ? kReplacedVoterTimeout
                                : kUnreplacedVoterTimeout;
--- a/src/node/core_role.cc
+++ b/src/node/core_role.cc
@@ -37,8 +37,12 @@
 constexpr Millis kElectionTimeout{500};
 constexpr Millis kStartupElectionTimeout{60};
 constexpr Millis kHeartbeat{100};
-// Time for requests in progress to complete before the process stops.
-constexpr Millis kDrainPeriod{300};
+// Interval between a stopping member's requests to be removed.
+constexpr Millis kDeparturePeriod{50};
+// Time after which a stopping leader that cannot remove itself hands over.
+constexpr Millis kLeaderRemovalTimeout{1000};
+// Part of the grace period that is reserved for the exit of the process.
+constexpr Millis kShutdownMargin{500};
 // A member that knows no leader for this long asks whether it was removed.
 constexpr Millis kRemovalCheckDelay{4000};
 // Interval between attempts to reopen a log after a disk error.
@@ -94,11 +98,7 @@
       this->RequestJoin();
     });
     this->runtime.Every(kReopenPeriod, [this] { this->Reopen(); });
-    this->runtime.OnDrain([this] {
-      this->operator_api.Drain();
-      this->HandOver();
-      this->runtime.Every(kDrainPeriod, [this] { this->runtime.Stop(); });
-    });
+    this->runtime.OnDrain([this] { this->Depart(); });
     LogLine("process_started")
         .Add("role", "core")
         .Add("address", ToString(this->settings.CoreAddress()))
@@ -209,8 +209,9 @@
   }
 
   void RequestJoin() {
+    if (this->departure_started.has_value()) return;
     const Millis now = MonotonicNow();
-    CoreJoin join{ToString(this->SelfAddress()), this->token, 0};
+    CoreJoin join{ToString(this->SelfAddress()), this->token, 0, false};
     if (this->log != nullptr) {
       const ReplicaStatus status = this->log->Status(now);
       if (status.leader != MemberId()) this->leader_last_known = now;
@@ -257,8 +258,9 @@
     CoreJoinReply reply{join.token, 0, false, {}};
     if (join.member != 0) {
       const MemberId asked(join.member);
-      if (FindMember(status.membership, asked) != nullptr ||
-          asked > status.membership.highest_id) {
+      if (asked > status.membership.highest_id) return;
+      if (FindMember(status.membership, asked) != nullptr) {
+        if (join.leaving) this->RemoveForDeparture(status, asked);
         return;
       }
       reply.removed = true;
@@ -290,11 +292,8 @@
   void OnJoinReply(const CoreJoinReply& reply) {
     if (reply.removed) {
       if (this->log == nullptr || reply.token != this->token) return;
-      if (this->log->Status(MonotonicNow()).self != MemberId(reply.member)) {
-        return;
-      }
-      LogLine("member_was_removed").Warn().Add("member", reply.member);
-      this->DiscardLog();
+      if (this->SelfId() != MemberId(reply.member)) return;
+      this->OnRemoved(MemberId(reply.member));
       return;
     }
     if (this->log != nullptr || reply.token != this->token ||
@@ -312,6 +311,85 @@
     this->OpenLog();
   }
 
+  // Shutdown.
+
+  // Stops serving operators, leaves the group if it can spare this member, and
+  // ends the process.
+  void Depart() {
+    this->departure_started = MonotonicNow();
+    this->operator_api.Drain();
+    if (!this->IsLeader() ||
+        !this->RemoveForDeparture(this->log->Status(*this->departure_started),
+                                  this->SelfId())) {
+      this->HandOver();
+    }
+    this->runtime.Every(kDeparturePeriod,
+                        [this] { this->ContinueDeparture(); });
+  }
+
+  void ContinueDeparture() {
+    const Millis elapsed = MonotonicNow() - *this->departure_started;
+    const Millis limit =
+        std::max(kDepartureDelay, this->settings.grace - kShutdownMargin);
+    if (this->log == nullptr) {
+      if (elapsed >= kDepartureDelay) this->runtime.Stop();
+      return;
+    }
+    const ReplicaStatus status = this->log->Status(MonotonicNow());
+    switch (NextDepartureStep(status, elapsed, limit, this->min_voters)) {
+      case DepartureStep::kWait:
+        return;
+      case DepartureStep::kRequestRemoval:
+        this->RequestRemoval(status, elapsed);
+        return;
+      case DepartureStep::kStop:
+        if (FindMember(status.membership, status.self) == nullptr) {
+          this->OnRemoved(status.self);
+        } else {
+          this->runtime.Stop();
+        }
+        return;
+    }
+  }
+
+  void RequestRemoval(const ReplicaStatus& status, Millis elapsed) {
+    if (status.role != ReplicaRole::kLeader) {
+      this->SendToOthers(CoreJoin{ToString(this->SelfAddress()), this->token,
+                                  status.self.Value(), true});
+      return;
+    }
+    if (this->RemoveForDeparture(status, status.self)) return;
+    if (elapsed >= kLeaderRemovalTimeout) this->HandOver();
+  }
+
+  // Proposes the removal of a member that is shutting down. Returns false if
+  // the group keeps it.
+  bool RemoveForDeparture(const ReplicaStatus& status, MemberId member) {
+    const std::optional<MembershipChange> change =
+        this->membership.ChangeForDeparture(status, member);
+    if (!change.has_value()) return false;
+    const bool proposed =
+        this->log->ChangeMembership(MonotonicNow(), *change).has_value();
+    LogLine("member_leaves")
+        .Add("member", member.Value())
+        .Add("voters", VoterCount(status.membership))
+        .Add("result", proposed ? "proposed" : "not proposed");
+    this->PublishCommitted();
+    return proposed;
+  }
+
+  // Erases the data directory of a member that was removed from the group. A
+  // member that shuts down sends its last messages and ends; another one joins
+  // again under a new ID.
+  void OnRemoved(MemberId member) {
+    LogLine("member_was_removed").Warn().Add("member", member.Value());
+    if (this->departure_started.has_value()) {
+      this->departure_started = MonotonicNow();
+      this->SendToOthers(CoreHandOver{member.Value()});
+    }
+    this->DiscardLog();
+  }
+
   // Announces that this leader is stopping, so that the other members elect a
   // new one without waiting for the election timeout.
   void HandOver() {
@@ -321,6 +399,8 @@
     LogLine("lead_handed_over").Add("term", status.term.Value());
   }
 
+  MemberId SelfId() const { return this->log->Status(MonotonicNow()).self; }
+
   void OnHandOver(const CoreHandOver& message) {
     if (this->log == nullptr) return;
     this->log->LeaderStops(MonotonicNow(), MemberId(message.member));
@@ -501,7 +581,9 @@
   bool reopen_pending = false;
   std::string halt_reason;
   Millis leader_last_known;
-  CoreMembership membership;
+  size_t min_voters = MinVotersFor(settings.tolerated_failures);
+  CoreMembership membership{this->min_voters};
+  std::optional<Millis> departure_started;  // Set once this process shuts down.
   std::vector<std::string> reported_members;  // Used while there is no log.
   std::map<MemberId, Endpoint> learned_addresses;  // From consensus messages.
   ConnectedDaemons daemons;
--- a/src/segment/segment_messages.cc
+++ b/src/segment/segment_messages.cc
@@ -146,6 +146,7 @@
     body->set_address(in.address);
     body->set_token(in.token);
     body->set_member(in.member);
+    body->set_leaving(in.leaving);
   }
   void operator()(const CoreJoinReply& in) const {
     pb::CoreJoinReply* body = this->out->mutable_join_reply();
@@ -306,8 +307,8 @@
     case pb::NodeMessage::kUpdate:
       return ReadUpdate(in.update());
     case pb::NodeMessage::kJoin:
-      return NodeMessage(
-          CoreJoin{in.join().address(), in.join().token(), in.join().member()});
+      return NodeMessage(CoreJoin{in.join().address(), in.join().token(),
+                                  in.join().member(), in.join().leaving()});
     case pb::NodeMessage::kJoinReply:
       return NodeMessage(
           CoreJoinReply{in.join_reply().token(), in.join_reply().member(),
