Apply listener changes only to the version they start from

A balancer could keep routes of a version that was no longer in force, or miss an added one, while it reported the newest version.

Cause: a core member that applies several commits in one step never has the versions between. Its delta since the version before them lacks what a skipped version changed and the newest changed back. A balancer that had received the skipped version from another member applied that delta nevertheless, since only a base above its own version was refused.

Evidence: listener_table.changes_since_an_older_version_do_not_mix_versions and late_deltas_of_several_senders_do_not_mix_versions failed before and pass now. Not seen with real processes.

Change: the base of a delta must be the table's version; otherwise the balancer tells the members its version at once, at most every 100 ms, and logs it.

Ruled out on related paths: the service store of the first roles applies each revision, so its deltas skip none; agent records are complete.

--- a/include/cornelhill/segment/listener_table.h
+++ b/include/cornelhill/segment/listener_table.h
@@ -98,8 +98,10 @@
   // nothing.
   bool Apply(const ListenerSet& set);
 
-  // Applies a delta with `base` at or below the current version and `to` above
-  // it. Otherwise returns false and changes nothing.
+  // Applies a whole table, or a delta with the current version as its `base`,
+  // if `to` is above the current version. Otherwise returns false and changes
+  // nothing: a sender that never had the current version does not know what to
+  // change back.
   bool Apply(const ListenerDelta& delta);
 
   // Returns null if no listener has the address. Valid until the next change.
--- a/src/node/entry_role.cc
+++ b/src/node/entry_role.cc
@@ -27,6 +27,8 @@
 // Part of the grace period that is reserved for the exit of the process.
 constexpr Millis kShutdownMargin{250};
 constexpr Millis kCountersPeriod{10000};
+// Bounds the hellos while members send changes that this balancer cannot apply.
+constexpr Millis kListenerRequestPeriod{100};
 
 SegmentBalancerSettings BalancerSettings(const NodeSettings& settings,
                                          const PlatformFormats& formats) {
@@ -105,12 +107,30 @@
   }
 
   void OnUpdate(const Update& update) {
-    if (!this->balancer.OnUpdate(MonotonicNow(), update)) return;
+    const Millis now = MonotonicNow();
+    if (!this->balancer.OnUpdate(now, update)) {
+      if (update.listeners.to > this->balancer.Listeners().Version()) {
+        this->RequestListeners(now, update.listeners);
+      }
+      return;
+    }
     LogLine("listeners_in_effect")
         .Add("version", this->balancer.Listeners().Version())
         .Add("listeners", this->balancer.Listeners().Size());
   }
 
+  // Tells the members which version this balancer has, so that they send the
+  // changes since then.
+  void RequestListeners(Millis now, const ListenerDelta& delta) {
+    LogLine("listeners_not_applied")
+        .Add("base", delta.base)
+        .Add("to", delta.to)
+        .Add("version", this->balancer.Listeners().Version());
+    if (now - this->listeners_requested < kListenerRequestPeriod) return;
+    this->listeners_requested = now;
+    this->link.SendHello();
+  }
+
   void OnRequest(const HttpRequest& request,
                  const HttpServer::Respond& respond) {
     const ApiRequest call = this->formats.api.read(request);
@@ -212,6 +232,7 @@
   SettingsWatch watch;
   NodeMetrics metrics;
   OneShotTimer lookup_timer;
+  Millis listeners_requested;
   bool draining = false;
 };
 
--- a/src/segment/listener_table.cc
+++ b/src/segment/listener_table.cc
@@ -53,7 +53,8 @@
 }
 
 bool ListenerTable::Apply(const ListenerDelta& delta) {
-  if (delta.to <= this->version || delta.base > this->version) return false;
+  if (delta.to <= this->version) return false;
+  if (delta.base != 0 && delta.base != this->version) return false;
   if (delta.base == 0) {
     this->entries.clear();
     this->removed.clear();
--- a/tests/segment/listener_table_test.cc
+++ b/tests/segment/listener_table_test.cc
@@ -109,6 +109,66 @@
   }
 }
 
+// Guards against a table that is a mixture of versions: a core member that had
+// skipped a version sent the changes since the version that it last knew of the
+// balancer, which had since received the skipped one from another member. What
+// that version had changed, and the newer one had changed back, stayed in
+// effect.
+Test(listener_table, changes_since_an_older_version_do_not_mix_versions) {
+  const Listener listener = MakeListener(1, 10);
+  const Listener other = MakeListener(2, 20);
+  const ListenerSet first{1, {listener}};
+  const ListenerSet second{2, {other}};
+  const ListenerSet third{3, {listener}};
+  ListenerTable skipped_second;
+  skipped_second.Apply(first);
+  skipped_second.Apply(third);
+  const ListenerDelta delta = skipped_second.DeltaSince(1);
+  ListenerTable receiver;
+  receiver.Apply(first);
+  receiver.Apply(second);
+  if (receiver.Apply(delta)) {
+    cr_assert(SameContent(skipped_second, receiver));
+  }
+  cr_assert(receiver.Apply(skipped_second.DeltaSince(receiver.Version())));
+  cr_assert(SameContent(skipped_second, receiver));
+}
+
+// The same with three members that each send the changes since the version that
+// they last sent, some of which arrive late.
+Test(listener_table, late_deltas_of_several_senders_do_not_mix_versions) {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    Random random(seed);
+    std::map<uint64_t, ListenerTable> by_version;
+    std::vector<ListenerTable> senders(3);
+    std::vector<uint64_t> sent(3, 0);
+    std::vector<ListenerDelta> in_flight;
+    ListenerTable receiver;
+    for (uint64_t version = 1; version <= 100; ++version) {
+      ListenerSet set{version, {}};
+      for (uint16_t port = 1; port <= 8; ++port) {
+        if (random.Chance(0.3)) continue;
+        set.listeners.push_back(MakeListener(port, random.Below(2)));
+      }
+      by_version[version].Apply(set);
+      for (size_t i = 0; i < senders.size(); ++i) {
+        if (random.Chance(0.4)) continue;
+        senders[i].Apply(set);
+        in_flight.push_back(senders[i].DeltaSince(sent[i]));
+        sent[i] = version;
+      }
+      while (!in_flight.empty() && random.Chance(0.6)) {
+        receiver.Apply(in_flight.front());
+        in_flight.erase(in_flight.begin());
+        if (receiver.Version() == 0) continue;
+        cr_assert(SameContent(by_version[receiver.Version()], receiver),
+                  "seed %zu version %zu", static_cast<size_t>(seed),
+                  static_cast<size_t>(receiver.Version()));
+      }
+    }
+  }
+}
+
 // Fails if new flows are not split by weight, or if the choice for a flow is
 // not deterministic.
 Test(listener_table, weights_share_new_flows) {
