Do not take a process's own pause for the silence of agents

The users' report of added routes that were not served fits; their logs were not kept, so that is suspected only.

Cause: records of agents expire 6 s after their report. A core member that had been suspended called a directory complete from which it had just dropped all agents; balancers reset open flows on that evidence.

Change: balancers expire agents by the time of the last complete directory, and reset a flow for lack of an agent only while the directory is complete. A core member that was paused settles again before it calls a directory complete or expires agents. A daemon without the core says hello every 100 ms.

--- a/include/cornelhill/node/connected_daemons.h
+++ b/include/cornelhill/node/connected_daemons.h
@@ -46,12 +46,16 @@
     Millis last_heard;
   };
 
+  // Notes that this process runs. After a pause it may not know the agents that
+  // started meanwhile, and has heard of none.
+  void NoteRunning(Millis now);
   void SendAgent(Millis now, const AgentRecord& record);
   void SendUpdate(Millis now, std::vector<AgentRecord> records,
                   bool whole_directory, Daemon* daemon);
 
   Handlers handlers;
-  Millis started;
+  Millis started;  // Or continued after a pause.
+  Millis last_running;
   ListenerTable listeners;
   AgentDirectory agents;
   std::map<std::string, Daemon> daemons;  // Keyed by routing id.
--- a/include/cornelhill/segment/segment_balancer.h
+++ b/include/cornelhill/segment/segment_balancer.h
@@ -208,6 +208,8 @@
   AgentDirectory agents;
   // Until then the directory contains every live agent.
   Millis directory_complete_until;
+  // When the last complete directory was received.
+  Millis directory_received_at;
   std::map<Endpoint, OfferHistory> offer_histories;
   std::unordered_map<SegmentFlow, Flow> flows;
   std::unordered_map<SegmentFlow, OwnerLookup> lookups;
--- a/src/node/connected_daemons.cc
+++ b/src/node/connected_daemons.cc
@@ -13,14 +13,26 @@
 // All running agents have sent a hello by then: they reconnect within 0.45 s
 // and send one each second.
 constexpr Millis kDirectorySettlePeriod{1500};
+// A process that runs calls `Expire` once a second.
+constexpr Millis kPauseThreshold{1500};
 
 }  // namespace
 
 ConnectedDaemons::ConnectedDaemons(Millis now, Handlers handlers)
-    : handlers(std::move(handlers)), started(now) {}
+    : handlers(std::move(handlers)), started(now), last_running(now) {}
+
+void ConnectedDaemons::NoteRunning(Millis now) {
+  if (now - this->last_running > kPauseThreshold) {
+    LogLine("process_was_paused")
+        .Add("milliseconds", (now - this->last_running).Count());
+    this->started = now;
+  }
+  this->last_running = now;
+}
 
 void ConnectedDaemons::OnHello(Millis now, const NodeSocket::Peer& peer,
                                const Hello& hello) {
+  this->NoteRunning(now);
   Daemon& daemon = this->daemons[peer.routing_id];
   daemon = {peer, hello.balancer, hello.listener_version, now};
   if (!hello.agent.empty()) {
@@ -44,6 +56,8 @@
 }
 
 void ConnectedDaemons::Expire(Millis now) {
+  this->NoteRunning(now);
+  if (now - this->started <= kDirectorySettlePeriod) return;
   this->agents.Expire(now);
   std::erase_if(this->daemons, [now](const auto& item) {
     return now - item.second.last_heard > kDaemonTimeout;
--- a/src/node/core_link.cc
+++ b/src/node/core_link.cc
@@ -41,8 +41,13 @@
 void CoreLink::Start() {
   this->started = MonotonicNow();
   this->runtime.Every(kHelloPeriod, [this] {
-    this->SendHello();
     this->LogConnection();
+    if (this->connected) {
+      this->SendHello();
+    } else {
+      this->started = MonotonicNow();
+      this->SendInitialHello();
+    }
   });
   this->SendInitialHello();
 }
--- a/src/segment/segment_balancer.cc
+++ b/src/segment/segment_balancer.cc
@@ -61,6 +61,7 @@
 bool SegmentBalancer::OnUpdate(Millis now, const Update& update) {
   if (update.complete) {
     this->directory_complete_until = now + kDirectoryCompletePeriod;
+    this->directory_received_at = now;
   }
   for (const AgentRecord& record : update.agents) {
     if (this->agents.Merge(now, record) &&
@@ -149,6 +150,13 @@
   if (!choice.has_value()) {
     BalancerEvent event{BalancerEventKind::kNoAgent, flow};
     event.tries = tries;
+    // Agents may have started since an outdated directory: the caller's
+    // retransmission finds them.
+    if (tries == 0 && now > this->directory_complete_until) {
+      this->flows.erase(flow);
+      out->events.push_back(event);
+      return;
+    }
     this->RefuseFlow(flow, event, out);
     return;
   }
@@ -368,7 +376,8 @@
   this->TickLookups(now, out);
   if (now < this->next_sweep) return;
   this->next_sweep = now + kSweepPeriod;
-  this->agents.Expire(now);
+  // Silence since the last directory is that of the core or of this process.
+  this->agents.Expire(this->directory_received_at);
   std::erase_if(this->offer_histories, [this](const auto& item) {
     return this->agents.Find(item.first) == nullptr;
   });
--- a/tests/segment/segment_path_test.cc
+++ b/tests/segment/segment_path_test.cc
@@ -120,6 +120,49 @@
   cr_assert_eq(network.Resets(), 2U);
 }
 
+// Guards against resets of flows that could be served: a balancer that had been
+// suspended, or cut off from the core, for longer than the agents' expiry
+// dropped all agents at its next sweep and reset each new flow until the core
+// answered.
+Test(segment_path, a_balancer_without_the_core_keeps_the_agents_it_knows) {
+  SegmentTestNetwork network = MakeNetwork(2);
+  network.PublishCompleteUpdate();
+  network.now += kAgentExpiry * 2;
+  network.Advance(1100);
+  network.Report(0);
+  network.Report(1);
+  network.Send(0, FirstPacket(CallerAt(1)));
+  cr_assert_neq(network.OwnerOf(CallerAt(1)), -1);
+  cr_assert_eq(network.Resets(), 0U);
+  // The core is back, and one of the agents is gone.
+  network.agents.erase(AgentAt(1));
+  network.now += kAgentExpiry * 2;
+  network.Report(0);
+  network.PublishCompleteUpdate();
+  network.Advance(1100);
+  cr_assert_eq(network.balancers[BalancerAt(0)]->Agents().Entries().size(), 1U);
+}
+
+// Guards against a reset by a balancer that does not know whether an agent of
+// the service has started: the caller's retransmission is served.
+Test(segment_path, a_flow_is_not_reset_before_the_directory_is_complete) {
+  SegmentTestNetwork network = MakeNetwork(0);
+  network.AddAgent(0);
+  network.Report(0);
+  network.Send(0, FirstPacket(CallerAt(1)));
+  cr_assert_eq(network.Resets(), 0U);
+  network.PublishCompleteUpdate();
+  network.Send(0, FirstPacket(CallerAt(1)));
+  cr_assert_eq(network.OwnerOf(CallerAt(1)), 0);
+  // With a complete directory a flow that nobody serves is reset at once.
+  network.agents.erase(AgentAt(0));
+  network.now += kAgentExpiry * 2;
+  network.PublishCompleteUpdate();
+  network.Advance(1100);
+  network.Send(0, FirstPacket(CallerAt(2)));
+  cr_assert_eq(network.Resets(), 1U);
+}
+
 // Fails if a flow that a full upstream returns is dropped although another
 // upstream has capacity.
 Test(segment_path, a_flow_refused_by_a_full_upstream_goes_to_another) {
