Keep a process alive whose write meets a full disk limit or a closed pipe

Cause: a write beyond the limit of file sizes raises SIGXFSZ and one to a closed pipe or connection SIGPIPE; both end a process by default and nothing ignored them. The log store's error path for a refused write was never reached.

Change: cornelhilld and the soak ignore both signals, so that the write fails with an error.

--- a/src/cornelhilld/main.cc
+++ b/src/cornelhilld/main.cc
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <string>
 
+#include "cornelhill/base/process_signals.h"
 #include "cornelhill/node/daemon_mode.h"
 
 ABSL_FLAG(std::string, config, "",
@@ -45,6 +46,7 @@
 }  // namespace cornelhill
 
 int main(int argc, char** argv) {
+  cornelhill::IgnoreWriteSignals();
   absl::SetProgramUsageMessage(
       "cornelhilld --config=FILE [--check_config]\n"
       "Runs one process of cornelhill: a balancer, an agent or a control "
--- a/tools/soak/main/soak.cc
+++ b/tools/soak/main/soak.cc
@@ -5,12 +5,12 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
-#include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <string>
 
+#include "cornelhill/base/process_signals.h"
 #include "tools/soak/soak_run.h"
 
 ABSL_FLAG(std::string, seeds, "1..3", "seeds to run, FIRST..LAST");
@@ -92,7 +92,7 @@
   if (folder.empty()) {
     folder = std::filesystem::temp_directory_path() / "cornelhill-soak";
   }
-  std::signal(SIGPIPE, SIG_IGN);
+  IgnoreWriteSignals();
   uint64_t broken = 0;
   for (uint64_t seed = first; seed <= last; ++seed) {
     if (!RunSeed(seed, *size, folder)) ++broken;
