--- a/src/node/sidecar_role.cc
+++ b/src/node/sidecar_role.cc
@@ -1,3 +1,4 @@
+#include <chrono>
 #include <string>
 #include <utility>
 
@@ -45,6 +46,17 @@
   return out;
 }
 
+// A start is stated in Unix time, which may differ between instances by
+// seconds. A report of a start far in the future would hide every later one.
+constexpr std::chrono::hours kMaxStartAhead{1};
+
+uint64_t LatestStart() {
+  const auto latest =
+      (std::chrono::system_clock::now() + kMaxStartAhead).time_since_epoch();
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(latest).count());
+}
+
 class SidecarRole {
  public:
   SidecarRole(const NodeSettings& settings, const PlatformFormats& formats)
@@ -158,6 +170,14 @@
                {}});
       return;
     }
+    if (report.incarnation.Value() > LatestStart()) {
+      LogLine("report_refused")
+          .Warn()
+          .Add("upstream", report.id)
+          .Add("incarnation", report.incarnation.Value());
+      respond({400, this->formats.api.error("start is in the future"), {}});
+      return;
+    }
     const Millis now = MonotonicNow();
     const UpstreamState before = this->agent.State(now);
     const bool accepted = this->agent.OnReport(now, report);
--- a/tests/platform/api_format_test.cc
+++ b/tests/platform/api_format_test.cc
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "cornelhill/base/random.h"
@@ -34,6 +36,35 @@
   cr_assert_eq(left.id, "i-7");
 }
 
+// Guards against one odd entry of another writer that ends the process, or that
+// makes an agent ignore its upstream from then on: a start in the far future is
+// newer than each start to come.
+Test(api_format, rejects_reports_that_name_no_server) {
+  const std::vector<std::pair<std::string, std::string>> changes = {
+      {R"("10.128.0.9:8080")", R"("10.128.0.9:99999")"},
+      {R"("10.128.0.9:8080")", R"("10.128.0.9")"},
+      {R"("10.128.0.9:8080")", "17"},
+      {R"("address":"10.128.0.9:8080",)", ""},
+      {R"("born":99)", R"("born":9223372036854775807)"},
+      {R"("born":99)", R"("born":99999999999999999999)"},
+      {R"("seq":4)", R"("seq":18446744073709551615)"},
+      {R"("slots":4)", R"("slots":1e999)"},
+      {R"("slots":4)", R"("slots":4294967297)"},
+      {R"("zone":"a")", "\"zone\":" + std::string(100000, '[')},
+      {R"("zone":"a")",
+       "\"zone\":" + std::string(100000, '[') + std::string(100000, ']')}};
+  for (const auto& [from, to] : changes) {
+    std::string body(kReport);
+    body.replace(body.find(from), from.size(), to);
+    const ApiRequest read = Read("PUT", "/-/instances/i-7", body);
+    // Fields that are not read may hold anything that can be parsed.
+    if (to.ends_with("]")) continue;
+    cr_assert(std::holds_alternative<ApiErrorResponse>(read), "%s",
+              body.substr(0, 200).c_str());
+    cr_assert_eq(std::get<ApiErrorResponse>(read).status, 400U);
+  }
+}
+
 // Guards against accepting a malformed heartbeat, or one that another program
 // wrote, as the report of an upstream.
 Test(api_format, rejects_malformed_reports) {
--- a/tools/soak/instance.cc
+++ b/tools/soak/instance.cc
@@ -123,6 +123,9 @@
     // The process does not outlive a soak that is killed.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != parent) _exit(127);
+    // An ignored signal stays ignored in the program that is started.
+    std::signal(SIGPIPE, SIG_DFL);
+    std::signal(SIGXFSZ, SIG_DFL);
     const int out =
         open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     dup2(out, STDOUT_FILENO);
