Retry calls of libzmq that a signal interrupts

Cause: a call of libzmq fails with EINTR when a signal arrives while it polls its mailbox. cppzmq throws, and nothing caught it.

Change: NodeSocket makes interrupted calls again and logs other errors of a send or a connect instead of ending. On the related path of the first roles, the thread of MessageNode blocks signals and its wake-up is retried.

--- a/src/daemon/message_node.cc
+++ b/src/daemon/message_node.cc
@@ -1,6 +1,7 @@
 #include "cornelhill/daemon/message_node.h"
 
 #include <atomic>
+#include <csignal>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -10,6 +11,7 @@
 #include <zmq.hpp>
 
 #include "cornelhill/base/log.h"
+#include "node/retry_interrupted.h"
 
 namespace cornelhill {
 
@@ -59,7 +61,10 @@
     const std::lock_guard lock(this->mutex);
     this->outgoing.push_back(std::move(message));
     if (this->outgoing.size() == 1) {
-      this->wake_send.send(zmq::str_buffer("x"), zmq::send_flags::dontwait);
+      RetryInterrupted([this] {
+        return this->wake_send.send(zmq::str_buffer("x"),
+                                    zmq::send_flags::dontwait);
+      });
     }
   }
 
@@ -125,6 +130,11 @@
   }
 
   void Run() {
+    // A signal that interrupts a call of libzmq makes it fail. The main thread
+    // handles signals.
+    sigset_t all;
+    sigfillset(&all);
+    pthread_sigmask(SIG_BLOCK, &all, nullptr);
     std::vector<zmq::pollitem_t> items;
     std::vector<std::string> names;
     items.push_back({this->wake_receive.handle(), 0, ZMQ_POLLIN, 0});
--- a/src/node/node_socket.cc
+++ b/src/node/node_socket.cc
@@ -8,6 +8,7 @@
 #include <zmq.hpp>
 
 #include "cornelhill/base/log.h"
+#include "node/retry_interrupted.h"
 
 namespace cornelhill {
 
@@ -43,6 +44,22 @@
   socket->set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
 }
 
+// Returns false if the part cannot be queued.
+bool SendPart(zmq::socket_t* socket, const std::string& bytes,
+              zmq::send_flags flags) {
+  return RetryInterrupted(
+      [&] { return socket->send(zmq::buffer(bytes), flags).has_value(); });
+}
+
+// The peer is as unreachable as one that is down; its own retries and those of
+// the sender cover the loss.
+void LogNotSent(const std::string& peer, const zmq::error_t& error) {
+  LogLine("message_not_sent")
+      .Warn()
+      .Add("peer", peer)
+      .Add("detail", error.what());
+}
+
 }  // namespace
 
 struct NodeSocket::Impl {
@@ -90,7 +107,7 @@
   void ReadAll(const std::shared_ptr<PolledSocket>& polled,
                std::optional<Endpoint> address) {
     std::vector<zmq::message_t> parts;
-    while (polled->socket && this->Receive(&polled->socket, &parts)) {
+    while (polled->socket && Receive(&polled->socket, &parts)) {
       const size_t expected = address.has_value() ? 1 : 2;
       if (parts.size() != expected) continue;
       Peer peer;
@@ -105,7 +122,10 @@
     parts->clear();
     do {
       zmq::message_t part;
-      if (!socket->recv(part, zmq::recv_flags::dontwait)) return false;
+      const bool received = RetryInterrupted([&] {
+        return socket->recv(part, zmq::recv_flags::dontwait).has_value();
+      });
+      if (!received) return false;
       parts->push_back(std::move(part));
     } while (parts->back().more());
     return true;
@@ -155,14 +175,22 @@
 }
 
 void NodeSocket::Connect(const Endpoint& address) {
-  this->impl->GetOrCreateDealer(address);
+  try {
+    this->impl->GetOrCreateDealer(address);
+  } catch (const zmq::error_t& error) {
+    LogNotSent(ToString(address), error);
+  }
 }
 
 void NodeSocket::Send(const Endpoint& address, const std::string& bytes) {
-  const std::shared_ptr<Impl::PolledSocket> dealer =
-      this->impl->GetOrCreateDealer(address);
-  dealer->socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
-  this->impl->PostRead(dealer, address);
+  try {
+    const std::shared_ptr<Impl::PolledSocket> dealer =
+        this->impl->GetOrCreateDealer(address);
+    SendPart(&dealer->socket, bytes, zmq::send_flags::dontwait);
+    this->impl->PostRead(dealer, address);
+  } catch (const zmq::error_t& error) {
+    LogNotSent(ToString(address), error);
+  }
 }
 
 void NodeSocket::Reply(const Peer& peer, const std::string& bytes) {
@@ -172,9 +200,13 @@
   }
   if (!this->impl->router) return;
   zmq::socket_t& router = this->impl->router->socket;
-  if (router.send(zmq::buffer(peer.routing_id),
-                  zmq::send_flags::sndmore | zmq::send_flags::dontwait)) {
-    router.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+  try {
+    if (SendPart(&router, peer.routing_id,
+                 zmq::send_flags::sndmore | zmq::send_flags::dontwait)) {
+      SendPart(&router, bytes, zmq::send_flags::dontwait);
+    }
+  } catch (const zmq::error_t& error) {
+    LogNotSent("a connected daemon", error);
   }
   this->impl->PostRead(this->impl->router, std::nullopt);
 }
--- a/tests/node/node_socket_test.cc
+++ b/tests/node/node_socket_test.cc
@@ -1,13 +1,17 @@
 #include "cornelhill/node/node_socket.h"
 
 #include <criterion/criterion.h>
+#include <pthread.h>
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "tests/node/free_endpoint.h"
 
@@ -102,5 +106,43 @@
   cr_assert_eq(incarnation, 2);
 }
 
+// Guards against a process that ends when a signal interrupts a call of libzmq,
+// which then fails with EINTR: 23 of 11,290 SIGHUPs ended a core member.
+Test(node_socket, signals_do_not_end_the_process, .timeout = 60) {
+  constexpr int kRoundTrips = 20000;
+  std::signal(SIGHUP, [](int) {});
+  boost::asio::io_context io;
+  const Endpoint address = FreeEndpoint(SOCK_STREAM);
+  std::unique_ptr<NodeSocket> server;
+  server = std::make_unique<NodeSocket>(
+      io, [&](const NodeSocket::Peer& peer, const std::string& text) {
+        server->Reply(peer, text);
+      });
+  cr_assert(server->Bind(address).has_value());
+  std::atomic<int> round_trips = 0;
+  NodeSocket client(io, [&](const NodeSocket::Peer&, const std::string& text) {
+    if (++round_trips == kRoundTrips) io.stop();
+    client.Send(address, text);
+  });
+  // Starts a round trip while none has completed.
+  const PeriodicAction periodic_send(io, [&] {
+    if (round_trips == 0) client.Send(address, "ping");
+  });
+  const pthread_t receiver = pthread_self();
+  std::atomic<bool> done = false;
+  // One signal for each round trip, so that signals do not starve the receiver.
+  std::thread sender([&] {
+    for (int signaled = 0; !done;) {
+      if (round_trips == signaled) continue;
+      signaled = round_trips;
+      pthread_kill(receiver, SIGHUP);
+    }
+  });
+  io.run();
+  done = true;
+  sender.join();
+  cr_assert_geq(round_trips.load(), kRoundTrips);
+}
+
 }  // namespace
 }  // namespace cornelhill
