Let an interrupted first start of a core member be repeated

Cause: LogStore::Create refused a directory that holds some of its files, though the member ID, written last, was missing; the founder gave up. A founder that was restarted without the setting bootstrap did not found the group at all.

Change: Create removes what an interrupted call has left. A missing state file beside a member ID is corrupt, not empty. The first seed founds the group without the setting if all other seeds state that they take part in the first start and were never members. Joins and membership changes are tried every 200 and 100 ms instead of 500 ms.

Evidence: log_store.an_interrupted_initialization_is_repeated walks through all operations of Create with kill, power loss and failed write; it failed at the first ("interrupted after 1 changes") and passes now.

--- a/include/cornelhill/consensus/log_store.h
+++ b/include/cornelhill/consensus/log_store.h
@@ -31,8 +31,9 @@
   // the member joins as a learner. If `bootstrap` has several voters, the
   // directory of each must be created before any command is proposed, and must
   // never be created again. Prefer a single bootstrap voter that adds the
-  // others as learners: a lost disk of such a member is detected. Fails with
-  // `kConflict` if the directory already contains files of a member.
+  // others as learners: a lost disk of such a member is detected. Removes what
+  // an interrupted call has left. Fails with `kConflict` if the directory
+  // already has a member ID.
   static Result<void> Create(FileSystem* files, const std::string& directory,
                              MemberId self,
                              const std::optional<Membership>& bootstrap);
--- a/include/cornelhill/segment/segment_messages.h
+++ b/include/cornelhill/segment/segment_messages.h
@@ -139,6 +139,8 @@
   uint64_t token = 0;
   uint64_t member = 0;
   bool leaving = false;  // Asks to be removed.
+  // Takes part in the first start of the deployment, without a data directory.
+  bool founding = false;
 };
 
 struct CoreJoinReply {
--- a/src/consensus/log_store.cc
+++ b/src/consensus/log_store.cc
@@ -75,6 +75,27 @@
   return last.first_index + last.offsets.size() - 1;
 }
 
+namespace {
+
+// Removes what an initialization that was interrupted has left. The identity is
+// written last, so without it no member has used the other files.
+Result<void> RemoveUnfinished(FileSystem* files, const std::string& directory) {
+  BOOST_OUTCOME_TRY(names, files->List(directory));
+  if (std::find(names.begin(), names.end(), kIdentityName) != names.end()) {
+    return Error{ErrorCode::kConflict, "data directory " + directory +
+                                           " already belongs to a member"};
+  }
+  for (const std::string& name : names) {
+    if (name == kStateName || name.starts_with(kSegmentPrefix) ||
+        name.starts_with(kSnapshotPrefix) || name.ends_with(kTemporarySuffix)) {
+      BOOST_OUTCOME_TRY(files->Remove(JoinPath(directory, name)));
+    }
+  }
+  return files->SyncDirectory(directory);
+}
+
+}  // namespace
+
 Result<void> LogStore::Create(FileSystem* files, const std::string& directory,
                               MemberId self,
                               const std::optional<Membership>& bootstrap) {
@@ -85,15 +106,7 @@
   }
   BOOST_OUTCOME_TRY(files->CreateDirectory(directory));
   BOOST_OUTCOME_TRY(lock, files->Lock(directory));
-  BOOST_OUTCOME_TRY(names, files->List(directory));
-  for (const std::string& name : names) {
-    if (name == kIdentityName || name == kStateName ||
-        name.starts_with(kSegmentPrefix) || name.starts_with(kSnapshotPrefix)) {
-      std::string text = "data directory ";
-      text.append(directory).append(" already holds ").append(name);
-      return Error{ErrorCode::kConflict, std::move(text)};
-    }
-  }
+  BOOST_OUTCOME_TRY(RemoveUnfinished(files, directory));
   LogStore store({}, files, directory);
   store.lock = std::move(lock);
   BOOST_OUTCOME_TRY(store.StartSegment(1));
@@ -122,7 +135,13 @@
   store->lock = std::move(lock);
   BOOST_OUTCOME_TRY(store->ReadIdentity(expected));
   const std::string state_path = JoinPath(directory, kStateName);
-  BOOST_OUTCOME_TRY(file, ReadChecksummedFile(files, state_path));
+  Result<ChecksummedFile> state_file = ReadChecksummedFile(files, state_path);
+  if (state_file.has_error() &&
+      state_file.error().code == ErrorCode::kNotFound) {
+    // Not an empty directory: it has a member ID.
+    return CorruptFileError(state_path, 0, "the file is missing");
+  }
+  BOOST_OUTCOME_TRY(file, std::move(state_file));
   if (file.payload.size() != 16) {
     return CorruptFileError(state_path, 0,
                             "the payload does not have 16 bytes");
--- a/src/node/core_role.cc
+++ b/src/node/core_role.cc
@@ -29,8 +29,9 @@
 
 // A quarter of the heartbeat interval of the replicated log.
 constexpr Millis kTickPeriod{25};
-constexpr Millis kMembershipPeriod{500};
-constexpr Millis kJoinPeriod{500};
+// Short, since no order is acknowledged until enough members are voters.
+constexpr Millis kMembershipPeriod{100};
+constexpr Millis kJoinPeriod{200};
 // Links between failure domains have a latency of 3 to 6 ms and drop single
 // packets. A write whose sender retries at another instance must be delayed by
 // one second at most.
@@ -45,6 +46,8 @@
 constexpr Millis kShutdownMargin{500};
 // A member that knows no leader for this long asks whether it was removed.
 constexpr Millis kRemovalCheckDelay{4000};
+// Five join periods.
+constexpr Millis kFounderTimeout{1000};
 // Interval between attempts to reopen a log after a disk error.
 constexpr Millis kReopenPeriod{500};
 
@@ -163,6 +166,7 @@
       return;
     }
     this->log = std::move(opened.value());
+    this->was_member = true;
     this->leader_last_known = now;
     this->PublishCommitted();
     LogLine("log_opened")
@@ -211,7 +215,7 @@
   void RequestJoin() {
     if (this->departure_started.has_value()) return;
     const Millis now = MonotonicNow();
-    CoreJoin join{ToString(this->SelfAddress()), this->token, 0, false};
+    CoreJoin join{ToString(this->SelfAddress()), this->token, 0, false, false};
     if (this->log != nullptr) {
       const ReplicaStatus status = this->log->Status(now);
       if (status.leader != MemberId()) this->leader_last_known = now;
@@ -219,6 +223,8 @@
       join.member = status.self.Value();
     } else if (!this->directory_empty) {
       return;
+    } else {
+      join.founding = this->settings.bootstrap && !this->was_member;
     }
     this->SendToOthers(join);
   }
@@ -250,8 +256,33 @@
     return out;
   }
 
+  // The first seed may have been restarted before it founded the group, without
+  // the setting `bootstrap`. It founds the group nevertheless if all other
+  // seeds state that they take part in the first start and were never members.
+  void FoundIfAllSeedsAgree(const CoreJoin& join) {
+    const Result<CoreAddress> from = ParseCoreAddress(join.address);
+    if (!join.founding || !from.has_value() || this->was_member ||
+        !this->directory_empty || this->seeds.size() < 2 ||
+        this->seeds.front() != *this->settings.operators) {
+      return;
+    }
+    const Millis now = MonotonicNow();
+    this->founders[from.value().endpoint] = now;
+    const bool all_agree = std::all_of(
+        this->seeds.begin() + 1, this->seeds.end(), [&](const Endpoint& seed) {
+          const auto found =
+              this->founders.find(this->settings.CoreAddressOf(seed));
+          return found != this->founders.end() &&
+                 now - found->second < kFounderTimeout;
+        });
+    if (all_agree) this->Bootstrap();
+  }
+
   void OnJoin(const NodeSocket::Peer& peer, const CoreJoin& join) {
-    if (this->log == nullptr) return;
+    if (this->log == nullptr) {
+      this->FoundIfAllSeedsAgree(join);
+      return;
+    }
     const Millis now = MonotonicNow();
     const ReplicaStatus status = this->log->Status(now);
     if (status.role != ReplicaRole::kLeader || status.change_in_flight) return;
@@ -355,7 +386,7 @@
   void RequestRemoval(const ReplicaStatus& status, Millis elapsed) {
     if (status.role != ReplicaRole::kLeader) {
       this->SendToOthers(CoreJoin{ToString(this->SelfAddress()), this->token,
-                                  status.self.Value(), true});
+                                  status.self.Value(), true, false});
       return;
     }
     if (this->RemoveForDeparture(status, status.self)) return;
@@ -579,6 +610,8 @@
   std::unique_ptr<ControlLog> log;  // Null while joining or without a disk.
   bool directory_empty = false;
   bool reopen_pending = false;
+  bool was_member = false;              // Since this process started.
+  std::map<Endpoint, Millis> founders;  // When each last said that it is one.
   std::string halt_reason;
   Millis leader_last_known;
   size_t min_voters = MinVotersFor(settings.tolerated_failures);
--- a/src/segment/segment_messages.cc
+++ b/src/segment/segment_messages.cc
@@ -147,6 +147,7 @@
     body->set_token(in.token);
     body->set_member(in.member);
     body->set_leaving(in.leaving);
+    body->set_founding(in.founding);
   }
   void operator()(const CoreJoinReply& in) const {
     pb::CoreJoinReply* body = this->out->mutable_join_reply();
@@ -308,7 +309,8 @@
       return ReadUpdate(in.update());
     case pb::NodeMessage::kJoin:
       return NodeMessage(CoreJoin{in.join().address(), in.join().token(),
-                                  in.join().member(), in.join().leaving()});
+                                  in.join().member(), in.join().leaving(),
+                                  in.join().founding()});
     case pb::NodeMessage::kJoinReply:
       return NodeMessage(
           CoreJoinReply{in.join_reply().token(), in.join_reply().member(),
--- a/tests/consensus/log_store_test.cc
+++ b/tests/consensus/log_store_test.cc
@@ -95,6 +95,54 @@
             std::string::npos);
 }
 
+// Guards against a directory that no later start accepts: a process was killed
+// or lost power, or a write failed, at any operation of its first
+// initialization.
+void CheckInterruptedInitialization(const std::optional<Membership>& first,
+                                    bool power) {
+  constexpr uint64_t kMoreThanAllOperations = 60;
+  bool completed = false;
+  for (uint64_t changes = 0; changes < kMoreThanAllOperations; ++changes) {
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+      MemoryFileSystem files(seed);
+      files.CrashAfter(changes);
+      const bool created =
+          LogStore::Create(&files, "data", kSelf, first).has_value();
+      completed = completed || created;
+      if (power) {
+        files.LosePower();
+      } else {
+        files.RestartProcess();
+      }
+      auto opened = Open(&files);
+      if (created) cr_assert(opened.has_value());
+      if (!opened.has_value()) {
+        cr_assert(opened.error().code == ErrorCode::kNotFound, "%zu: %s",
+                  static_cast<size_t>(changes), opened.error().message.c_str());
+        const Result<void> again =
+            LogStore::Create(&files, "data", kSelf, first);
+        cr_assert(again.has_value(), "interrupted after %zu changes: %s",
+                  static_cast<size_t>(changes),
+                  again.has_error() ? again.error().message.c_str() : "");
+        opened = Open(&files);
+        cr_assert(opened.has_value());
+      }
+      const StoredState state = opened.value()->TakeState();
+      cr_assert(state.self == kSelf);
+      cr_assert_eq(state.entries.size(), first.has_value() ? 1U : 0U);
+    }
+  }
+  cr_assert(completed, "the loop is too short");
+}
+
+Test(log_store, an_interrupted_initialization_is_repeated) {
+  const Membership first{{{kSelf, true, 1, "127.0.0.1:1"}}, kSelf};
+  for (const bool power : {false, true}) {
+    CheckInterruptedInitialization(first, power);
+    CheckInterruptedInitialization(std::nullopt, power);
+  }
+}
+
 // Guards against a failed start, or a lost synced entry, after a write that was
 // torn at any byte.
 Test(log_store, truncates_a_torn_write_at_any_byte) {
