Acknowledge orders only with enough voters to survive the tolerated losses

Cause: the group starts with one voter and acknowledged orders at any size.

Change: below 2f + 1 voters an order gets 503 "the group has k of n voters". The group keeps at least that many voters.

Evidence: operator_api.a_group_without_enough_voters_acknowledges_nothing got 200 before and 503 now.

Not covered: the founder's disk lost after a second member has joined and before the group is complete; nothing is acknowledged then, but no group comes up.

--- a/include/cornelhill/control/core_membership.h
+++ b/include/cornelhill/control/core_membership.h
@@ -14,8 +14,8 @@
 
 namespace cornelhill {
 
-// The group keeps this many voters even if some are inactive: at this size, an
-// inactive voter is removed only after another member has replaced it.
+// The group keeps at least this many voters even if some are inactive: at this
+// size, an inactive voter is removed only after another member has replaced it.
 constexpr size_t kMinVoters = 3;
 
 // Inactivity after which a voter is removed if another voter was promoted in
@@ -51,8 +51,8 @@
 std::string ToString(const CoreAddress& address);
 Result<CoreAddress> ParseCoreAddress(const std::string& text);
 
-// Returns the number of voters below which no voter is removed because it shuts
-// down. Pure and thread-safe.
+// Returns the number of voters that the group keeps so as to tolerate as many
+// failures. Pure and thread-safe.
 size_t MinVotersFor(size_t tolerated_failures);
 
 // What a member that shuts down does next.
--- a/src/control/core_membership.cc
+++ b/src/control/core_membership.cc
@@ -119,7 +119,7 @@
     const Millis timeout = is_surplus || this->HasReplacement(old.id)
                                ? kReplacedVoterTimeout
                                : kUnreplacedVoterTimeout;
-    if (old.voter && voters > kMinVoters &&
+    if (old.voter && voters > this->min_voters &&
         this->InactiveLongerThan(now, old.id, timeout)) {
       return RemoveMember{old.id};
     }
--- a/src/node/operator_api.cc
+++ b/src/node/operator_api.cc
@@ -118,6 +118,17 @@
     this->core.publish_committed();
     return;
   }
+  const size_t voters = VoterCount(log->Status(now).membership);
+  const size_t required = 2 * this->settings.tolerated_failures + 1;
+  if (voters < required) {
+    // A smaller group could lose what it acknowledges together with disks that
+    // may be lost.
+    record_outcome("group_incomplete");
+    this->Refuse(respond, 503,
+                 "the group has " + std::to_string(voters) + " of " +
+                     std::to_string(required) + " voters");
+    return;
+  }
   Command command;
   command.request_id = "listeners-" + std::to_string(put.version) + "-" +
                        std::to_string(Hash64(put.document));
