Claim a flow for an upstream only while the upstream is heard

Cause: a restarted agent forwards packets of unknown flows to its upstream and took 25 ms without a returned packet for proof that the upstream has the flow. A crashed upstream returns nothing.

Change: silence counts only if the upstream was heard within 25 ms before the packet was sent and again after it. Otherwise the packet is sent up to four times and the check ends without an answer.

Evidence: segment_agent.a_silent_upstream_is_no_evidence_of_a_flow failed before and passes now; a_running_upstream_that_keeps_a_packet_has_its_flow guards the recovery of flows.

--- a/include/cornelhill/segment/segment_agent.h
+++ b/include/cornelhill/segment/segment_agent.h
@@ -180,8 +180,12 @@
   struct UpstreamCheck {
     Endpoint balancer;
     Endpoint home_agent;  // Sender of the packet, if it was a probe.
-    Millis deadline;
     bool is_probe = false;
+    std::string datagram;
+    Millis sent_at;
+    uint32_t times_sent = 0;
+    // The upstream was running when the packet was sent.
+    bool upstream_ran = false;
   };
 
   void OnLookup(Millis now, const Endpoint& from, SegmentMessage message,
@@ -221,6 +225,9 @@
                     const Segment& segment, SegmentAgentOutput* out);
   void CheckUpstream(Millis now, const SegmentFlow& flow, const Endpoint& from,
                      SegmentMessage message, SegmentAgentOutput* out);
+  void SendUpstreamCheck(Millis now, UpstreamCheck* check,
+                         SegmentAgentOutput* out);
+  void TickUpstreamChecks(Millis now, SegmentAgentOutput* out);
   void OnReturned(Millis now, const Segment& segment, std::string datagram,
                   SegmentAgentOutput* out);
   void OnReturnedFirst(Millis now, const SegmentFlow& flow,
@@ -261,6 +268,8 @@
   Millis reported_at;
   std::unordered_map<SegmentFlow, Flow> flows;
   std::unordered_map<SegmentFlow, UpstreamCheck> upstream_checks;
+  // Last packet or report of the upstream.
+  Millis upstream_last_heard{-1000000};
   FlowOwnerDirectory owner_directory;
   // The latest version of a listener that an offer has stated.
   struct LatestListener {
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -11,6 +11,9 @@
 // The upstream returns a packet within 1 ms; the rest allows for delays in
 // scheduling the agent.
 constexpr Millis kUpstreamCheckPeriod{25};
+// Times that a packet is sent to an upstream that does not show that it runs.
+// The balancer repeats its lookup after this time.
+constexpr uint32_t kMaxUpstreamChecks = 4;
 // In percent of the delay after which a caller retransmits its first packet. An
 // upstream that has not replied by then is considered down.
 constexpr int64_t kFirstReplyTimeoutPercent = 75;
@@ -60,6 +63,7 @@
         last.state != UpstreamState::kReady &&
         next.state == UpstreamState::kReady) {
       this->reported_at = now;
+      this->upstream_last_heard = now;
       this->report->sequence = next.sequence;
       return true;
     }
@@ -72,6 +76,7 @@
   }
   this->report = next;
   this->reported_at = now;
+  this->upstream_last_heard = now;
   return true;
 }
 
@@ -349,9 +354,40 @@
   const bool is_probe = message.kind == SegmentMessageKind::kProbe;
   const auto [found, added] = this->upstream_checks.try_emplace(flow);
   if (!added) return;  // The caller retransmits the packet.
-  found->second = {is_probe ? message.requester : from, from,
-                   now + kUpstreamCheckPeriod, is_probe};
-  out->upstream.push_back(std::move(message.datagram));
+  UpstreamCheck& check = found->second;
+  check.balancer = is_probe ? message.requester : from;
+  check.home_agent = from;
+  check.is_probe = is_probe;
+  check.datagram = std::move(message.datagram);
+  this->SendUpstreamCheck(now, &check, out);
+}
+
+void SegmentAgent::SendUpstreamCheck(Millis now, UpstreamCheck* check,
+                                     SegmentAgentOutput* out) {
+  check->upstream_ran = now - this->upstream_last_heard <= kUpstreamCheckPeriod;
+  check->sent_at = now;
+  ++check->times_sent;
+  out->upstream.push_back(check->datagram);
+}
+
+// An upstream returns a packet of a flow that it does not have, so one that
+// keeps the packet has the flow, provided that it was running. One that has
+// crashed keeps silent about every flow.
+void SegmentAgent::TickUpstreamChecks(Millis now, SegmentAgentOutput* out) {
+  std::vector<SegmentFlow> owned;
+  std::vector<SegmentFlow> unanswered;
+  for (auto& [flow, check] : this->upstream_checks) {
+    if (now - check.sent_at < kUpstreamCheckPeriod) continue;
+    if (check.upstream_ran && this->upstream_last_heard > check.sent_at) {
+      owned.push_back(flow);
+    } else if (check.times_sent < kMaxUpstreamChecks) {
+      this->SendUpstreamCheck(now, &check, out);
+    } else {
+      unanswered.push_back(flow);
+    }
+  }
+  for (const SegmentFlow& flow : owned) this->Adopt(now, flow, out);
+  for (const SegmentFlow& flow : unanswered) this->upstream_checks.erase(flow);
 }
 
 void SegmentAgent::OnUpstreamPacket(Millis now, std::string datagram,
@@ -362,6 +398,7 @@
     return;
   }
   const Segment& segment = parsed.value();
+  this->upstream_last_heard = now;
   if (segment.returned) {
     this->OnReturned(now, segment, std::move(datagram), out);
     return;
@@ -525,11 +562,7 @@
 }
 
 void SegmentAgent::Tick(Millis now, SegmentAgentOutput* out) {
-  std::vector<SegmentFlow> owned;
-  for (const auto& [flow, check] : this->upstream_checks) {
-    if (now >= check.deadline) owned.push_back(flow);
-  }
-  for (const SegmentFlow& flow : owned) this->Adopt(now, flow, out);
+  this->TickUpstreamChecks(now, out);
   this->AdmitWaiting(now, out);
   for (const auto& failed : this->owner_directory.Tick(now, &out->peers)) {
     AgentDecision decision{AgentDecisionKind::kSearchFailed, failed.flow};
--- a/tests/segment/segment_agent_test.cc
+++ b/tests/segment/segment_agent_test.cc
@@ -52,6 +52,64 @@
   cr_assert_eq(agent.State(Millis(4100)), UpstreamState::kUnknown);
 }
 
+// An agent that was restarted beside an upstream with flows.
+SegmentAgent MakeRecoveringAgent() {
+  SegmentAgent agent = MakeAgent();
+  agent.OnReport(Millis(1000), MakeReport(7, 50));
+  return agent;
+}
+
+// Asks the agent for a flow that it does not know, then lets `milliseconds`
+// pass, with a packet of another flow from the upstream each 5 ms if it runs.
+// Returns whether the agent claimed the flow.
+bool ClaimsUnknownFlow(SegmentAgent* agent, bool upstream_runs,
+                       int64_t milliseconds) {
+  const Segment packet = DataPacket(CallerAt(1));
+  SegmentMessage probe;
+  probe.kind = SegmentMessageKind::kProbe;
+  probe.datagram = text_format::Write(packet);
+  probe.requester = BalancerAt(0);
+  Segment other = DataPacket(CallerAt(2));
+  std::swap(other.source, other.destination);
+  const Millis start(2000);
+  bool claimed = false;
+  for (Millis now = start; now < start + Millis(milliseconds);
+       now += Millis(5)) {
+    SegmentAgentOutput out;
+    if (upstream_runs) {
+      agent->OnUpstreamPacket(now, text_format::Write(other), &out);
+    }
+    if (now == start + Millis(5)) {
+      agent->OnPeerMessage(now, AgentAt(1), probe, &out);
+    }
+    agent->Tick(now, &out);
+    for (const PeerMessage& send : out.peers) {
+      if (send.message.kind == SegmentMessageKind::kOwnerFound &&
+          send.message.flow.caller == CallerAt(1)) {
+        claimed = true;
+      }
+    }
+  }
+  return claimed;
+}
+
+// Guards against resets of open flows of other upstreams: the agent beside a
+// crashed upstream, which returns nothing, claimed each flow that was looked up
+// and reset it once the upstream was back.
+Test(segment_agent, a_silent_upstream_is_no_evidence_of_a_flow) {
+  SegmentAgent agent = MakeRecoveringAgent();
+  cr_assert_not(ClaimsUnknownFlow(&agent, false, 1000));
+  cr_assert_eq(agent.OpenFlows(), 0U);
+  cr_assert_not(agent.HasPendingWork(), "the check ends");
+}
+
+// Fails if flows are lost by a restart of their agent: a running upstream
+// returns the packets of flows that it does not have.
+Test(segment_agent, a_running_upstream_that_keeps_a_packet_has_its_flow) {
+  SegmentAgent agent = MakeRecoveringAgent();
+  cr_assert(ClaimsUnknownFlow(&agent, true, 60));
+}
+
 // Fails if a caller is left waiting after a restart of the upstream, or if a
 // flow is reset although the upstream has not restarted.
 Test(segment_agent, a_returned_flow_is_reset_only_after_a_new_start) {
