Accept configurations of up to 960 KiB

Cause: body and document were limited to 512 KiB; a command of the log may have 1 MiB.

Change: one limit of 960 KiB for both, named in the refusal.

--- a/include/cornelhill/control/command.h
+++ b/include/cornelhill/control/command.h
@@ -15,7 +15,7 @@
 // Limits enforced by the decoders and by `ControlState`.
 constexpr size_t kMaxNameBytes = 64;  // Services, applications, operators.
 constexpr size_t kMaxRequestIdBytes = 64;
-constexpr size_t kMaxListenerDocumentBytes = size_t{512} * 1024;
+constexpr size_t kMaxListenerDocumentBytes = size_t{960} * 1024;
 constexpr uint32_t kMaxSlots = 65535;
 constexpr uint32_t kMaxWeight = 10000;
 
--- a/src/node/http_server.cc
+++ b/src/node/http_server.cc
@@ -7,6 +7,8 @@
 #include <optional>
 #include <utility>
 
+#include "cornelhill/control/command.h"
+
 namespace cornelhill {
 
 namespace {
@@ -15,7 +17,8 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-constexpr size_t kMaxBodyBytes = size_t{512} * 1024;
+// A whole listener document.
+constexpr size_t kMaxBodyBytes = kMaxListenerDocumentBytes;
 constexpr uint32_t kMaxHeaderBytes = 16384;
 // Long enough that a peer that polls twice a second keeps its connection.
 constexpr std::chrono::seconds kIdleTimeout{10};
@@ -49,7 +52,10 @@
   void OnRead(const beast::error_code& error) {
     if (error == http::error::body_limit) {
       this->keep_alive = false;
-      this->Write({413, R"({"error":"body is larger than 524288 bytes"})", {}});
+      this->Write({413,
+                   R"({"error":"body is larger than )" +
+                       std::to_string(kMaxBodyBytes) + R"( bytes"})",
+                   {}});
       return;
     }
     if (error == http::error::end_of_stream) {
--- a/src/segment/segment_messages.cc
+++ b/src/segment/segment_messages.cc
@@ -15,7 +15,7 @@
 constexpr uint64_t kMaxMillis = 3600000;
 // A packet of 1,232 bytes and the other fields.
 constexpr size_t kMaxSegmentMessageBytes = 4096;
-// A whole listener table of 512 KiB and the agent directory.
+// A whole listener table of a document of 960 KiB and the agent directory.
 constexpr size_t kMaxNodeMessageBytes = size_t{4} << 20;
 
 auto Malformed(std::string message) {
