Bound the entries of the replicated log in memory by bytes

Durations of the settings may be given in seconds, also as fractions, as the platform allows: grace_s = 2.5 kept every process from starting before.

Evidence: replica.entries_in_memory_are_bounded_by_bytes failed with an unbounded budget and passes now; node_settings.durations_in_seconds_may_be_fractions.

--- a/include/cornelhill/config/node_settings.h
+++ b/include/cornelhill/config/node_settings.h
@@ -41,6 +41,7 @@
   bool bootstrap = false;
   // Core members that may be lost at the same time.
   size_t tolerated_failures = 1;
+  size_t memory_mb = 64;  // Above it the process is killed.
   Millis grace{6000};
   Millis flow_lifetime{60000};
   Millis heartbeat{1200};
--- a/include/cornelhill/consensus/memory_log.h
+++ b/include/cornelhill/consensus/memory_log.h
@@ -18,6 +18,8 @@
 
   LogIndex BaseIndex() const { return this->base_index; }
   LogIndex LastIndex() const;
+  // Sum of `EntryBytes` of the entries.
+  size_t Bytes() const { return this->bytes; }
   Term LastTerm() const;
 
   // Returns true if the term of the entry at `index` is available.
@@ -39,6 +41,11 @@
   // `HasTermAt(index)`.
   void Discard(LogIndex index);
 
+  // Returns the lowest index such that the entries after it, up to `last`, are
+  // at most `max_count` and have at most `max_bytes`. Requires
+  // `HasTermAt(last)`.
+  LogIndex BaseFor(LogIndex last, size_t max_bytes, size_t max_count) const;
+
   // Returns entries from `from` on, up to `max_bytes` and `max_count`, but at
   // least one if there is one.
   std::vector<LogEntry> Slice(LogIndex from, size_t max_bytes,
@@ -48,6 +55,7 @@
   LogIndex base_index;
   Term base_term;
   std::deque<LogEntry> entries;
+  size_t bytes = 0;
 };
 
 // Size of an entry for limits: its data plus a fixed overhead.
--- a/include/cornelhill/consensus/replica.h
+++ b/include/cornelhill/consensus/replica.h
@@ -56,6 +56,9 @@
   // Entries kept in memory before a snapshot, so that members that lag slightly
   // can catch up without it.
   uint64_t keep_entries = 2000;
+  // Bound of their size: an entry may contain a configuration of hundreds of
+  // kilobytes.
+  size_t keep_bytes = 2 << 20;
 };
 
 enum class ReplicaRole : uint8_t {
@@ -139,6 +142,7 @@
   LogIndex synced_index = 0;
   LogIndex commit_index = 0;
   LogIndex applied_index = 0;
+  size_t log_bytes = 0;  // Of the entries in memory.
   Membership membership;
   bool change_in_flight = false;
   // On the leader only.
--- a/src/config/node_settings.cc
+++ b/src/config/node_settings.cc
@@ -1,5 +1,6 @@
 #include "cornelhill/config/node_settings.h"
 
+#include <cmath>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -16,6 +17,8 @@
 constexpr int64_t kMaxPort = 65000;
 
 constexpr int64_t kMaxToleratedFailures = 1000;
+constexpr int64_t kMinMemoryMb = 32;
+constexpr int64_t kMaxMemoryMb = 1 << 20;
 
 // Reads fields and remembers the first fault and which fields were asked for.
 class FieldReader {
@@ -58,6 +61,40 @@
     return field->get<int64_t>();
   }
 
+  // A duration in the field NAME_s, in seconds, or NAME_ms, in milliseconds.
+  Millis Duration(const std::string& name, Millis fallback, Millis lowest) {
+    const std::string seconds = name + "_s";
+    const Json* field = this->Find(seconds, false);
+    if (field == nullptr) {
+      return Millis(this->Number(name + "_ms", fallback.Count(), lowest.Count(),
+                                 kMaxMillis));
+    }
+    const double value = field->is_number() ? field->get<double>() : -1;
+    const double low = static_cast<double>(lowest.Count()) / 1000;
+    const double high = static_cast<double>(kMaxMillis) / 1000;
+    if (!(value >= low && value <= high)) {
+      this->Refuse(seconds, "a number of seconds from " + std::to_string(low) +
+                                " to " + std::to_string(high));
+      return fallback;
+    }
+    return Millis(std::llround(value * 1000));
+  }
+
+  // An integer, or a fraction, of which the integer part counts.
+  int64_t WholePart(const std::string& name, int64_t fallback, int64_t lowest,
+                    int64_t highest) {
+    const Json* field = this->Find(name, false);
+    if (field == nullptr) return fallback;
+    const double value = field->is_number() ? field->get<double>() : -1;
+    if (!(value >= static_cast<double>(lowest) &&
+          value <= static_cast<double>(highest))) {
+      this->Refuse(name, "a number from " + std::to_string(lowest) + " to " +
+                             std::to_string(highest));
+      return fallback;
+    }
+    return static_cast<int64_t>(value);
+  }
+
   bool Flag(const std::string& name) {
     const Json* field = this->Find(name, false);
     if (field == nullptr) return false;
@@ -167,11 +204,14 @@
     out.bootstrap = reader.Flag("bootstrap");
     out.tolerated_failures = static_cast<size_t>(
         reader.Number("tolerated_failures", 1, 0, kMaxToleratedFailures));
+    out.memory_mb = static_cast<size_t>(
+        reader.WholePart("memory_mb", 64, kMinMemoryMb, kMaxMemoryMb));
   }
-  out.grace = Millis(reader.Number("grace_ms", 6000, 500, kMaxMillis));
+  out.grace = reader.Duration("grace", Millis(6000), Millis(500));
   out.flow_lifetime =
-      Millis(reader.Number("flow_lifetime_ms", 60000, 1000, kMaxMillis));
-  out.heartbeat = Millis(reader.Number("heartbeat_ms", 1200, 50, kMaxMillis));
+      reader.Duration("flow_lifetime", Millis(60000), Millis(1000));
+  out.heartbeat =
+      Millis(reader.WholePart("heartbeat_ms", 1200, 50, kMaxMillis));
   out.metrics = reader.Address("metrics", false);
   const std::string level = reader.Text("log_level", false);
   const auto known = level.empty() ? LogLevel::kInfo : ParseLogLevel(level);
--- a/src/consensus/memory_log.cc
+++ b/src/consensus/memory_log.cc
@@ -33,24 +33,41 @@
 void MemoryLog::Append(LogEntry entry) {
   assert(entry.index == this->LastIndex() + 1);
   assert(entry.term >= this->LastTerm());
+  this->bytes += EntryBytes(entry);
   this->entries.push_back(std::move(entry));
 }
 
 void MemoryLog::Truncate(LogIndex from) {
   assert(from > this->base_index);
   if (from > this->LastIndex()) return;
-  this->entries.resize(from - this->base_index - 1);
+  while (this->LastIndex() >= from) {
+    this->bytes -= EntryBytes(this->entries.back());
+    this->entries.pop_back();
+  }
 }
 
 void MemoryLog::Discard(LogIndex index) {
   const Term term = this->TermAt(index);
-  this->entries.erase(
-      this->entries.begin(),
-      this->entries.begin() + static_cast<int64_t>(index - this->base_index));
-  this->base_index = index;
+  while (this->base_index < index) {
+    this->bytes -= EntryBytes(this->entries.front());
+    this->entries.pop_front();
+    ++this->base_index;
+  }
   this->base_term = term;
 }
 
+LogIndex MemoryLog::BaseFor(LogIndex last, size_t max_bytes,
+                            size_t max_count) const {
+  LogIndex base = last;
+  size_t kept_bytes = 0;
+  while (base > this->base_index && last - base < max_count) {
+    kept_bytes += EntryBytes(this->At(base));
+    if (kept_bytes > max_bytes) break;
+    --base;
+  }
+  return base;
+}
+
 std::vector<LogEntry> MemoryLog::Slice(LogIndex from, size_t max_bytes,
                                        size_t max_count) const {
   std::vector<LogEntry> slice;
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -370,6 +370,7 @@
   status.synced_index = this->synced_index;
   status.commit_index = this->commit_index;
   status.applied_index = this->applied_index;
+  status.log_bytes = this->log.Bytes();
   status.membership = this->CurrentMembership();
   status.change_in_flight = this->memberships.back().first > this->commit_index;
   if (this->role != ReplicaRole::kLeader) return status;
--- a/src/consensus/replica_snapshot.cc
+++ b/src/consensus/replica_snapshot.cc
@@ -22,10 +22,9 @@
          this->memberships[1].first <= meta.index) {
     this->memberships.erase(this->memberships.begin());
   }
-  if (meta.index > this->settings.keep_entries) {
-    const LogIndex base = meta.index - this->settings.keep_entries;
-    if (base > this->log.BaseIndex()) this->log.Discard(base);
-  }
+  const LogIndex base = this->log.BaseFor(meta.index, this->settings.keep_bytes,
+                                          this->settings.keep_entries);
+  if (base > this->log.BaseIndex()) this->log.Discard(base);
 }
 
 void Replica::OnSnapshotChunk(Millis now, MemberId from,
--- a/src/node/core_role.cc
+++ b/src/node/core_role.cc
@@ -46,6 +46,9 @@
 constexpr Millis kShutdownMargin{500};
 // A member that knows no leader for this long asks whether it was removed.
 constexpr Millis kRemovalCheckDelay{4000};
+// A twentieth of the memory for the log entries before a snapshot, and another
+// one for those after it.
+constexpr size_t kMemoryPerLogBudget = 20;
 // Five join periods.
 constexpr Millis kFounderTimeout{1000};
 // Interval between attempts to reopen a log after a disk error.
@@ -154,6 +157,10 @@
     replica_settings.election_timeout = kElectionTimeout;
     replica_settings.startup_timeout = kStartupElectionTimeout;
     replica_settings.heartbeat = kHeartbeat;
+    const size_t log_budget =
+        (this->settings.memory_mb << 20) / kMemoryPerLogBudget;
+    replica_settings.snapshot_after_bytes = log_budget;
+    replica_settings.keep_bytes = log_budget;
     Result<std::unique_ptr<ControlLog>> opened =
         ControlLog::Open(this->Directory(), now, this->token,
                          this->ControlLogHandlers(), replica_settings);
@@ -583,6 +590,8 @@
     this->metrics.SetGauge(
         "cornelhill_node_members",
         static_cast<double>(status.membership.members.size()));
+    this->metrics.SetGauge("cornelhill_node_log_bytes",
+                           static_cast<double>(status.log_bytes));
     this->metrics.SetGauge("cornelhill_node_faults_tolerated",
                            status.faults_tolerated);
     this->metrics.SetGauge(
--- a/tests/config/node_settings_test.cc
+++ b/tests/config/node_settings_test.cc
@@ -35,6 +35,25 @@
   cr_assert_not(IsNodeSettings(R"({"role":"agent"})"));
 }
 
+// Guards against processes that do not start where the platform states a bound
+// as a fraction.
+Test(node_settings, durations_in_seconds_may_be_fractions) {
+  Json document = Sidecar();
+  document["grace_s"] = 2.5;
+  document["flow_lifetime_s"] = 60;
+  document["heartbeat_ms"] = 1200.5;
+  const NodeSettings settings =
+      ParseNodeSettings(document.dump(), "side.json").value();
+  cr_assert_eq(settings.grace.Count(), 2500);
+  cr_assert_eq(settings.flow_lifetime.Count(), 60000);
+  cr_assert_eq(settings.heartbeat.Count(), 1200);
+  document["grace_s"] = 0.1;
+  const auto refused = ParseNodeSettings(document.dump(), "side.json");
+  cr_assert_not(refused.has_value());
+  cr_assert_neq(refused.error().message.find("field grace_s is 0.1"),
+                std::string::npos);
+}
+
 // The message names the file, the field, the value and what is accepted.
 Test(node_settings, refuses_with_one_clear_line) {
   const auto error_of = [](const Json& document) {
--- a/tests/consensus/replica_test.cc
+++ b/tests/consensus/replica_test.cc
@@ -315,5 +315,55 @@
   cr_assert(replica.Status(Millis(200)).role == ReplicaRole::kPreCandidate);
 }
 
+// Guards against core members that exceed their memory: the entries before a
+// snapshot were limited by number only, and each held a configuration of
+// hundreds of kilobytes.
+Test(replica, entries_in_memory_are_bounded_by_bytes) {
+  constexpr size_t kEntryBytes = size_t{200} << 10;
+  StoredState state;
+  state.self = MemberId(1);
+  state.entries = {
+      {1, Term(1), EntryKind::kMembership,
+       Encode(Membership{{{MemberId(1), true, 1, ""}}, MemberId(1)})}};
+  state.hard_state.term = Term(1);
+  const ReplicaSettings settings;
+  Replica replica =
+      std::move(Replica::Start(settings, state, kSeed, Millis(0)).value());
+  const Millis now(10000);
+  replica.Tick(now);
+  TakeAndPersist(&replica, now);
+  for (int i = 0; i < 200; ++i) {
+    cr_assert(replica.Propose(now, std::string(kEntryBytes, 'x')).has_value());
+    for (int step = 0; step < 3; ++step) {
+      const ReplicaOutput output = TakeAndPersist(&replica, now);
+      if (output.snapshot_request.has_value()) {
+        replica.SnapshotSaved(now, *output.snapshot_request);
+      }
+    }
+    const ReplicaStatus status = replica.Status(now);
+    cr_assert_eq(status.applied_index, status.last_index);
+    cr_assert_leq(
+        status.log_bytes,
+        settings.keep_bytes + settings.snapshot_after_bytes + 2 * kEntryBytes);
+  }
+}
+
+// Fails if a member that lags slightly needs a whole snapshot.
+Test(replica, a_log_keeps_recent_entries_within_its_limits) {
+  MemoryLog log(10, Term(1));
+  for (LogIndex index = 11; index <= 20; ++index) {
+    log.Append({index, Term(1), EntryKind::kCommand, std::string(68, 'x')});
+  }
+  cr_assert_eq(log.Bytes(), 1000U);
+  cr_assert_eq(log.BaseFor(20, 1000, 100), 10U);
+  cr_assert_eq(log.BaseFor(20, 350, 100), 17U);
+  cr_assert_eq(log.BaseFor(18, 350, 100), 15U);
+  cr_assert_eq(log.BaseFor(20, 1000, 4), 16U);
+  cr_assert_eq(log.BaseFor(20, 50, 4), 20U);
+  log.Discard(17);
+  log.Truncate(19);
+  cr_assert_eq(log.Bytes(), 100U);
+}
+
 }  // namespace
 }  // namespace cornelhill
--- a/tests/platform/stand_in/messages.cc
+++ b/tests/platform/stand_in/messages.cc
@@ -78,6 +78,7 @@
             {"outbound", at(settings.outbound)},
             {"control", at(settings.control)}}},
           {"bounds", {{"grace_s", 6}, {"flow_max_s", 60}}},
+          {"limits", {{"memory_mb", 80}}},
           {"fault_tolerance", {{"machines", settings.tolerated_failures}}},
           {"heartbeat_ms", 1200}};
 }
