Refuse orders and reads at a log that has halted

What callers saw: an order or read at a leader whose disk had just refused a write got no response until the log was opened again, up to 500 ms later, and then a closed connection.

Cause: the replica of a halted log still takes proposals and reads; its output is no longer processed. Reads in progress were dropped with the log.

Change: a halted log fails proposals and confirmations at once, also those in progress.

Evidence: control_log.a_halted_log_refuses_at_once failed before and passes now.

--- a/include/cornelhill/node/control_log.h
+++ b/include/cornelhill/node/control_log.h
@@ -86,6 +86,7 @@
   bool ProcessOutputOnce(Millis now);
   void Apply(const LogEntry& entry);
   void FailProposals(const std::string& reason);
+  void FailConfirmations();
   void Halt(const std::string& reason);
 
   std::unique_ptr<LogStore> store;
--- a/src/node/control_log.cc
+++ b/src/node/control_log.cc
@@ -73,6 +73,10 @@
 
 void ControlLog::Propose(Millis now, const Command& command,
                          ProposalCallback done) {
+  if (this->halted) {
+    done(Error{ErrorCode::kUnavailable, "the log of this instance has halted"});
+    return;
+  }
   const Result<ProposalId> proposal =
       this->replica.Propose(now, Encode(command));
   if (!proposal.has_value()) {
@@ -85,6 +89,10 @@
 }
 
 void ControlLog::ConfirmLeadership(Millis now, ConfirmationCallback done) {
+  if (this->halted) {
+    done(std::nullopt);
+    return;
+  }
   const ReadId id(this->next_read_id++);
   this->pending_confirmations[id] = {now, std::move(done)};
   this->replica.ConfirmRead(now, id);
@@ -203,9 +211,16 @@
   }
 }
 
+void ControlLog::FailConfirmations() {
+  std::map<ReadId, PendingConfirmation> failed;
+  failed.swap(this->pending_confirmations);
+  for (auto& [id, pending] : failed) pending.done(std::nullopt);
+}
+
 void ControlLog::Halt(const std::string& reason) {
   this->halted = true;
   this->FailProposals(reason);
+  this->FailConfirmations();
   this->handlers.on_halt(reason);
 }
 
