--- a/tools/soak/soak_run.cc
+++ b/tools/soak/soak_run.cc
@@ -179,13 +179,35 @@
   for (const auto& other : this->Others()) this->Start(*other, true);
 }
 
+// Kills core members while they set up their data directories. Their disks are
+// kept, so the group must be formed nevertheless.
+void SoakRun::DisturbFirstStart(Random& random) {
+  const size_t number = this->judge.BeginDisturbance(Disturbed::kCoreMajority,
+                                                     {}, MonotonicNow());
+  for (const auto& core : this->Cores()) {
+    if (random.Chance(0.5)) continue;
+    this->Note("kill " + core->instance->settings.name + " at its first start");
+    SleepFor(Between(random, 0, 60));
+    const std::lock_guard lock(*core->mutex);
+    core->instance->Kill();
+    SleepFor(Between(random, 0, 300));
+    this->Start(*core, random.Chance(0.5));
+  }
+  this->judge.EndDisturbance(number, MonotonicNow());
+}
+
 SoakResult SoakRun::Run() {
   this->started = MonotonicNow();
   this->end = Millis(INT64_MAX);
   this->StartDeployment();
   Random random(this->settings.seed);
+  if (this->settings.only_fault.empty()) this->DisturbFirstStart(random);
   this->operators.Order(this->configurations.Next(), 0, kFirstOrderLimit,
                         random);
+  if (this->settings.only_fault.empty() && random.Chance(0.3)) {
+    this->Note("lose_disk of the first acknowledgement");
+    this->LoseDiskOfAcknowledger(random);
+  }
   SleepFor(kCatchUp + kStabilityWindow);
   this->end = MonotonicNow() + this->settings.duration;
   std::vector<std::thread> threads;
@@ -368,6 +390,15 @@
     const std::lock_guard lock(this->mutex);
     by = this->last_acknowledged_by;
   }
+  if (by.has_value()) this->LoseDiskOfAcknowledger(random);
+}
+
+void SoakRun::LoseDiskOfAcknowledger(Random& random) {
+  std::optional<Endpoint> by;
+  {
+    const std::lock_guard lock(this->mutex);
+    by = this->last_acknowledged_by;
+  }
   const auto all = this->Cores();
   const auto found =
       std::find_if(all.begin(), all.end(), [&](const auto& core) {
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -84,12 +84,15 @@
   void RunProber(uint64_t seed);
   void WatchProcesses();
 
+  void DisturbFirstStart(Random& random);
+
   // Faults of core members, one after another within the tolerance.
   void RunCoreFaults(uint64_t seed);
   void KillCore(Random& random);
   void StopCore(Random& random);
   void FreezeCore(Random& random);
   void LoseDiskAfterAcknowledgement(Random& random);
+  void LoseDiskOfAcknowledger(Random& random);
   void ReplaceCorePlanned(Random& random);
   void ReplaceLostCore(Random& random);
   void FillDisksInTurn(Random& random);
