Split the planned stop and the founding agreement out of the core role

CoreDeparture is the planned stop of a member, FoundingAgreement the decision whether the first seed may found the group without the setting.

--- a/src/node/core_role.cc
+++ b/src/node/core_role.cc
@@ -11,8 +11,10 @@
 #include "cornelhill/base/random.h"
 #include "cornelhill/consensus/consensus_codec.h"
 #include "cornelhill/control/core_membership.h"
+#include "cornelhill/control/founding_agreement.h"
 #include "cornelhill/node/connected_daemons.h"
 #include "cornelhill/node/control_log.h"
+#include "cornelhill/node/core_departure.h"
 #include "cornelhill/node/http_server.h"
 #include "cornelhill/node/node_metrics.h"
 #include "cornelhill/node/node_roles.h"
@@ -38,19 +40,11 @@
 constexpr Millis kElectionTimeout{500};
 constexpr Millis kStartupElectionTimeout{60};
 constexpr Millis kHeartbeat{100};
-// Interval between a stopping member's requests to be removed.
-constexpr Millis kDeparturePeriod{50};
-// Time after which a stopping leader that cannot remove itself hands over.
-constexpr Millis kLeaderRemovalTimeout{1000};
-// Part of the grace period that is reserved for the exit of the process.
-constexpr Millis kShutdownMargin{500};
 // A member that knows no leader for this long asks whether it was removed.
 constexpr Millis kRemovalCheckDelay{4000};
 // A twentieth of the memory for the log entries before a snapshot, and another
 // one for those after it.
 constexpr size_t kMemoryPerLogBudget = 20;
-// Five join periods.
-constexpr Millis kFounderTimeout{1000};
 // Interval between attempts to reopen a log after a disk error.
 constexpr Millis kReopenPeriod{500};
 
@@ -104,7 +98,10 @@
       this->RequestJoin();
     });
     this->runtime.Every(kReopenPeriod, [this] { this->Reopen(); });
-    this->runtime.OnDrain([this] { this->Depart(); });
+    this->runtime.OnDrain([this] {
+      this->operator_api.Drain();
+      this->departure.Start();
+    });
     LogLine("process_started")
         .Add("role", "core")
         .Add("address", ToString(this->settings.CoreAddress()))
@@ -137,6 +134,13 @@
     this->OpenLog();
   }
 
+  CoreJoin Identify() const {
+    CoreJoin join;
+    join.address = ToString(this->SelfAddress());
+    join.token = this->token;
+    return join;
+  }
+
   CoreAddress SelfAddress() const {
     return {this->settings.CoreAddress(), this->settings.failure_domain,
             this->token};
@@ -220,9 +224,9 @@
   }
 
   void RequestJoin() {
-    if (this->departure_started.has_value()) return;
+    if (this->departure.Started()) return;
     const Millis now = MonotonicNow();
-    CoreJoin join{ToString(this->SelfAddress()), this->token, 0, false, false};
+    CoreJoin join = this->Identify();
     if (this->log != nullptr) {
       const ReplicaStatus status = this->log->Status(now);
       if (status.leader != MemberId()) this->leader_last_known = now;
@@ -269,20 +273,17 @@
   void FoundIfAllSeedsAgree(const CoreJoin& join) {
     const Result<CoreAddress> from = ParseCoreAddress(join.address);
     if (!join.founding || !from.has_value() || this->was_member ||
-        !this->directory_empty || this->seeds.size() < 2 ||
+        !this->directory_empty || this->seeds.empty() ||
         this->seeds.front() != *this->settings.operators) {
       return;
     }
     const Millis now = MonotonicNow();
-    this->founders[from.value().endpoint] = now;
-    const bool all_agree = std::all_of(
-        this->seeds.begin() + 1, this->seeds.end(), [&](const Endpoint& seed) {
-          const auto found =
-              this->founders.find(this->settings.CoreAddressOf(seed));
-          return found != this->founders.end() &&
-                 now - found->second < kFounderTimeout;
-        });
-    if (all_agree) this->Bootstrap();
+    this->founding.Note(now, from.value().endpoint);
+    std::vector<Endpoint> others;
+    for (size_t i = 1; i < this->seeds.size(); ++i) {
+      others.push_back(this->settings.CoreAddressOf(this->seeds[i]));
+    }
+    if (this->founding.AllAgree(now, others)) this->Bootstrap();
   }
 
   void OnJoin(const NodeSocket::Peer& peer, const CoreJoin& join) {
@@ -298,7 +299,7 @@
       const MemberId asked(join.member);
       if (asked > status.membership.highest_id) return;
       if (FindMember(status.membership, asked) != nullptr) {
-        if (join.leaving) this->RemoveForDeparture(status, asked);
+        if (join.leaving) this->departure.OnRequest(status, asked);
         return;
       }
       reply.removed = true;
@@ -330,8 +331,10 @@
   void OnJoinReply(const CoreJoinReply& reply) {
     if (reply.removed) {
       if (this->log == nullptr || reply.token != this->token) return;
-      if (this->SelfId() != MemberId(reply.member)) return;
-      this->OnRemoved(MemberId(reply.member));
+      if (this->log->Status(MonotonicNow()).self != MemberId(reply.member)) {
+        return;
+      }
+      this->departure.OnRemoved(MemberId(reply.member));
       return;
     }
     if (this->log != nullptr || reply.token != this->token ||
@@ -349,96 +352,6 @@
     this->OpenLog();
   }
 
-  // Shutdown.
-
-  // Stops serving operators, leaves the group if it can spare this member, and
-  // ends the process.
-  void Depart() {
-    this->departure_started = MonotonicNow();
-    this->operator_api.Drain();
-    if (!this->IsLeader() ||
-        !this->RemoveForDeparture(this->log->Status(*this->departure_started),
-                                  this->SelfId())) {
-      this->HandOver();
-    }
-    this->runtime.Every(kDeparturePeriod,
-                        [this] { this->ContinueDeparture(); });
-  }
-
-  void ContinueDeparture() {
-    const Millis elapsed = MonotonicNow() - *this->departure_started;
-    const Millis limit =
-        std::max(kDepartureDelay, this->settings.grace - kShutdownMargin);
-    if (this->log == nullptr) {
-      if (elapsed >= kDepartureDelay) this->runtime.Stop();
-      return;
-    }
-    const ReplicaStatus status = this->log->Status(MonotonicNow());
-    switch (NextDepartureStep(status, elapsed, limit, this->min_voters)) {
-      case DepartureStep::kWait:
-        return;
-      case DepartureStep::kRequestRemoval:
-        this->RequestRemoval(status, elapsed);
-        return;
-      case DepartureStep::kStop:
-        if (FindMember(status.membership, status.self) == nullptr) {
-          this->OnRemoved(status.self);
-        } else {
-          this->runtime.Stop();
-        }
-        return;
-    }
-  }
-
-  void RequestRemoval(const ReplicaStatus& status, Millis elapsed) {
-    if (status.role != ReplicaRole::kLeader) {
-      this->SendToOthers(CoreJoin{ToString(this->SelfAddress()), this->token,
-                                  status.self.Value(), true, false});
-      return;
-    }
-    if (this->RemoveForDeparture(status, status.self)) return;
-    if (elapsed >= kLeaderRemovalTimeout) this->HandOver();
-  }
-
-  // Proposes the removal of a member that is shutting down. Returns false if
-  // the group keeps it.
-  bool RemoveForDeparture(const ReplicaStatus& status, MemberId member) {
-    const std::optional<MembershipChange> change =
-        this->membership.ChangeForDeparture(status, member);
-    if (!change.has_value()) return false;
-    const bool proposed =
-        this->log->ChangeMembership(MonotonicNow(), *change).has_value();
-    LogLine("member_leaves")
-        .Add("member", member.Value())
-        .Add("voters", VoterCount(status.membership))
-        .Add("result", proposed ? "proposed" : "not proposed");
-    this->PublishCommitted();
-    return proposed;
-  }
-
-  // Erases the data directory of a member that was removed from the group. A
-  // member that shuts down sends its last messages and ends; another one joins
-  // again under a new ID.
-  void OnRemoved(MemberId member) {
-    LogLine("member_was_removed").Warn().Add("member", member.Value());
-    if (this->departure_started.has_value()) {
-      this->departure_started = MonotonicNow();
-      this->SendToOthers(CoreHandOver{member.Value()});
-    }
-    this->DiscardLog();
-  }
-
-  // Announces that this leader is stopping, so that the other members elect a
-  // new one without waiting for the election timeout.
-  void HandOver() {
-    if (!this->IsLeader()) return;
-    const ReplicaStatus status = this->log->Status(MonotonicNow());
-    this->SendToOthers(CoreHandOver{status.self.Value()});
-    LogLine("lead_handed_over").Add("term", status.term.Value());
-  }
-
-  MemberId SelfId() const { return this->log->Status(MonotonicNow()).self; }
-
   void OnHandOver(const CoreHandOver& message) {
     if (this->log == nullptr) return;
     this->log->LeaderStops(MonotonicNow(), MemberId(message.member));
@@ -619,13 +532,19 @@
   std::unique_ptr<ControlLog> log;  // Null while joining or without a disk.
   bool directory_empty = false;
   bool reopen_pending = false;
-  bool was_member = false;              // Since this process started.
-  std::map<Endpoint, Millis> founders;  // When each last said that it is one.
+  bool was_member = false;  // Since this process started.
+  FoundingAgreement founding;
   std::string halt_reason;
   Millis leader_last_known;
   size_t min_voters = MinVotersFor(settings.tolerated_failures);
   CoreMembership membership{this->min_voters};
-  std::optional<Millis> departure_started;  // Set once this process shuts down.
+  CoreDeparture departure{
+      this->runtime,
+      this->settings.grace,
+      this->min_voters,
+      {[this] { return this->log.get(); }, [this] { return this->Identify(); },
+       [this](const NodeMessage& message) { this->SendToOthers(message); },
+       [this] { this->PublishCommitted(); }, [this] { this->DiscardLog(); }}};
   std::vector<std::string> reported_members;  // Used while there is no log.
   std::map<MemberId, Endpoint> learned_addresses;  // From consensus messages.
   ConnectedDaemons daemons;
