--- a/tests/control/core_replacement_test.cc
+++ b/tests/control/core_replacement_test.cc
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <set>
 #include <vector>
@@ -138,8 +139,8 @@
   size_t tolerated_failures;
 };
 
-const std::vector<Deployment> kDeployments = {{3, 1}, {4, 1}, {5, 2},
-                                              {6, 2}, {8, 2}, {9, 4}};
+constexpr std::array<Deployment, 6> kDeployments = {
+    {{3, 1}, {4, 1}, {5, 2}, {6, 2}, {8, 2}, {9, 4}}};
 
 // Guards against a group that never has a leader again: a member that had been
 // replaced as planned ended and stayed a voter, and disks that may be lost in
@@ -188,7 +189,7 @@
 // Guards against a restart costing a member its place where the group needs it:
 // until the member returns, the group tolerates one failure less.
 Test(core_replacement, a_group_of_minimum_size_keeps_a_member_that_restarts) {
-  for (const Deployment& deployment : std::vector<Deployment>{{3, 1}, {5, 2}}) {
+  for (const Deployment& deployment : {kDeployments[0], kDeployments[2]}) {
     Group group(deployment.members, deployment.tolerated_failures);
     group.Run(Millis(10000));
     group.Stop({MemberId(2)});
