--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -232,6 +232,11 @@
     return {machine.ip, port};
   }
 
+  // Folder of the machine's settings, logs and data.
+  std::string FolderOf(const Machine& machine) const {
+    return this->folder + "/" + machine.name;
+  }
+
   // The operator: sends a configuration to the seeds and follows redirects
   // until it is acknowledged. Returns false if that took over `limit_ms`.
   bool PutConfig(uint64_t version, const std::string& document, int limit_ms);
