--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -672,15 +672,16 @@
 }
 
 Address World::Listener(const std::string& service) const {
-  return {(198u << 24) | (18u << 16) | 1u,
+  return {this->network | (200u << 8) | 1u,
           static_cast<uint16_t>(service == "aula" ? 443 : 8443)};
 }
 
 std::string World::ConfigDocument(uint64_t version) const {
-  const auto route = [](const std::string& name, const std::string& port,
-                        const std::string& service) {
-    return "{\"name\":\"" + name +
-           "\",\"host\":\"198.18.0.1\",\"path_prefix\":\"/" + port +
+  const std::string host = IpText(this->Listener("aula").ip);
+  const auto route = [&host](const std::string& name, const std::string& port,
+                             const std::string& service) {
+    return "{\"name\":\"" + name + "\",\"host\":\"" + host +
+           "\",\"path_prefix\":\"/" + port +
            "/\",\"type\":\"idempotent\",\"timeout_ms\":1500,"
            "\"target_latency_ms\":200,\"priority\":2,\"service\":\"" +
            service + "\",\"max_attempts\":2}";
