Do not let a late departure of an earlier start stop a new one

Cause: the agent compared the ID alone, and a state other than ready stays for the whole start. Change: a departure counts for the start that it states, if it states one. One without a start is final only after a drain, which comes before every planned stop; otherwise it is taken for a drain that the next report of the start ends. A departure of another upstream or start is refused with 409. Ruled out: taking no notice of an unannounced departure, as the upstream may be gone. Before: with the former logic behind the new signature a_late_departure_of_an_earlier_start_does_not_stay and a_late_report_of_a_dead_incarnation_changes_nothing (its calls now ask whether the departure is in force) failed. After: all 60 tests of test_segment and 16 of test_platform pass.

--- a/include/cornelhill/node/api.h
+++ b/include/cornelhill/node/api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -18,6 +19,7 @@
 // States that an upstream has left permanently.
 struct UpstreamLeft {
   std::string id;
+  std::optional<Incarnation> incarnation;  // The start that left, if stated.
 };
 
 // An operator's listener document; `version` was read from it.
--- a/include/cornelhill/segment/segment_agent.h
+++ b/include/cornelhill/segment/segment_agent.h
@@ -129,9 +129,12 @@
   // reports arrive.
   ReportVerdict OnReport(Millis now, const UpstreamReport& report);
 
-  // Marks the upstream as permanently stopped (`kGone`) if `id` matches the ID
-  // in its last report.
-  void OnLeave(const std::string& id);
+  // Applies the departure of the upstream `id`, or of the start `incarnation`
+  // of it if stated. One that drains is permanently stopped (`kGone`); one that
+  // was ready drains until a further report shows that it runs. Returns false
+  // and changes nothing if another upstream or start is known.
+  bool OnLeave(const std::string& id,
+               const std::optional<Incarnation>& incarnation);
 
   // Refuses new flows from now on, and sends waiting flows back to their
   // balancers.
@@ -296,6 +299,8 @@
   Millis started;
   bool draining = false;
   std::optional<UpstreamReport> report;
+  // The upstream is said to have left without having drained.
+  bool left_unannounced = false;
   // The last report of a start before the known one.
   std::optional<UpstreamReport> earlier_start;
   // The first report received was not the first of its upstream, so there may
--- a/src/node/sidecar_role.cc
+++ b/src/node/sidecar_role.cc
@@ -139,10 +139,7 @@
     if (const auto* report = std::get_if<UpstreamReport>(&call)) {
       this->OnReport(*report, respond);
     } else if (const auto* left = std::get_if<UpstreamLeft>(&call)) {
-      this->agent.OnLeave(left->id);
-      this->link.SendHello();
-      LogLine("upstream_left").Add("upstream", left->id);
-      respond({200, "{}", {}});
+      this->OnLeave(*left, respond);
     } else if (std::holds_alternative<ReadyQuery>(call)) {
       respond({200, {}, {}});
     } else if (const auto* error = std::get_if<ApiErrorResponse>(&call)) {
@@ -158,6 +155,24 @@
     }
   }
 
+  void OnLeave(const UpstreamLeft& left, const HttpServer::Respond& respond) {
+    const bool in_force = this->agent.OnLeave(left.id, left.incarnation);
+    LogLine line(in_force ? "upstream_left" : "departure_refused");
+    line.Add("upstream", left.id)
+        .Add("state", ToString(this->agent.State(MonotonicNow())));
+    if (left.incarnation.has_value()) {
+      line.Add("incarnation", left.incarnation->Value());
+    }
+    if (!in_force) {
+      respond({409,
+               this->formats.api.error("another upstream or start is known"),
+               {}});
+      return;
+    }
+    this->link.SendHello();
+    respond({200, "{}", {}});
+  }
+
   void OnReport(const UpstreamReport& report,
                 const HttpServer::Respond& respond) {
     if (report.incarnation.Value() > LatestStart()) {
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -94,6 +94,7 @@
 
 ReportVerdict SegmentAgent::OnNewStart(Millis now, const UpstreamReport& next) {
   this->earlier_start.reset();
+  this->left_unannounced = false;
   this->report = next;
   this->reported_at = now;
   this->upstream_last_heard = now;
@@ -104,9 +105,14 @@
                                          const UpstreamReport& next) {
   UpstreamReport& last = *this->report;
   if (next.id != last.id) return ReportVerdict::kOtherUpstream;
-  const bool starts_to_drain = last.state == UpstreamState::kReady &&
-                               next.state == UpstreamState::kDraining;
-  if (starts_to_drain) last.state = next.state;
+  const bool starts_to_drain =
+      next.state == UpstreamState::kDraining &&
+      (last.state == UpstreamState::kReady || this->left_unannounced);
+  const bool runs = this->left_unannounced && next.sequence > last.sequence;
+  if (starts_to_drain || runs) {
+    this->left_unannounced = false;
+    last.state = next.state;
+  }
   if (next.sequence < last.sequence) {
     return starts_to_drain ? ReportVerdict::kAccepted
                            : ReportVerdict::kOutdated;
@@ -132,9 +138,21 @@
          now - this->reported_at > this->settings.report_timeout;
 }
 
-void SegmentAgent::OnLeave(const std::string& id) {
-  if (!this->report.has_value() || this->report->id != id) return;
-  this->report->state = UpstreamState::kGone;
+// An ID may be in use again when the departure of an earlier start arrives, and
+// a departure need not state its start. Upstreams drain before they leave, so
+// the departure of one that has not done so is only taken as a drain.
+bool SegmentAgent::OnLeave(const std::string& id,
+                           const std::optional<Incarnation>& incarnation) {
+  if (!this->report.has_value()) return true;
+  UpstreamReport& last = *this->report;
+  if (last.id != id ||
+      incarnation.value_or(last.incarnation) != last.incarnation) {
+    return false;
+  }
+  if (last.state == UpstreamState::kReady) this->left_unannounced = true;
+  last.state =
+      this->left_unannounced ? UpstreamState::kDraining : UpstreamState::kGone;
+  return true;
 }
 
 UpstreamState SegmentAgent::State(Millis now) const {
--- a/tests/platform/api_format_test.cc
+++ b/tests/platform/api_format_test.cc
@@ -35,6 +35,21 @@
   cr_assert(report.state == UpstreamState::kReady);
   const auto left = std::get<UpstreamLeft>(Read("DELETE", "/-/instances/i-7"));
   cr_assert_eq(left.id, "i-7");
+  cr_assert_not(left.incarnation.has_value());
+}
+
+// Fails if the departure of one start is taken for that of another one, or if a
+// malformed one is taken for any.
+Test(api_format, reads_the_start_of_a_departure) {
+  const auto left = std::get<UpstreamLeft>(
+      Read("DELETE", "/-/instances/i-7", R"({"born":99})"));
+  cr_assert_eq(left.incarnation->Value(), 99U);
+  for (const char* body : {"{", "[]", "{}", R"({"born":"99"})",
+                           R"({"born":-1})", R"({"born":1.5})"}) {
+    cr_assert(std::holds_alternative<ApiErrorResponse>(
+                  Read("DELETE", "/-/instances/i-7", body)),
+              "%s", body);
+  }
 }
 
 // Guards against one odd entry of another writer that ends the process, or that
--- a/tests/segment/segment_agent_test.cc
+++ b/tests/segment/segment_agent_test.cc
@@ -44,9 +44,9 @@
   cr_assert_eq(agent.OnReport(Millis(30), MakeReport(7, 1)),
                ReportVerdict::kOutdated);
   cr_assert_eq(agent.State(Millis(30)), UpstreamState::kDraining);
-  agent.OnLeave("i-6");
+  cr_assert_not(agent.OnLeave("i-6", std::nullopt));
   cr_assert_eq(agent.State(Millis(30)), UpstreamState::kDraining);
-  agent.OnLeave("i-7");
+  cr_assert(agent.OnLeave("i-7", std::nullopt));
   cr_assert_eq(agent.State(Millis(30)), UpstreamState::kGone);
   cr_assert_eq(agent.OnReport(Millis(40), MakeReport(8, 1)),
                ReportVerdict::kAccepted);
@@ -102,6 +102,49 @@
   cr_assert_eq(agent.State(Millis(30)), UpstreamState::kDraining);
 }
 
+// Guards against an upstream that takes no flows until its next start: the
+// departure of an earlier start under the same ID, which arrived late, was
+// taken for its own.
+Test(segment_agent, a_late_departure_of_an_earlier_start_does_not_stay) {
+  SegmentAgent agent = MakeAgent();
+  UpstreamReport report = MakeReport(9, 1);
+  report.id = "i-7";
+  agent.OnReport(Millis(10), report);
+  cr_assert_not(agent.OnLeave("i-7", Incarnation(7)), "states its start");
+  cr_assert_eq(agent.State(Millis(20)), UpstreamState::kReady);
+  cr_assert(agent.OnLeave("i-7", std::nullopt));
+  cr_assert(agent.OnLeave("i-7", std::nullopt), "a repeated departure");
+  cr_assert_eq(agent.State(Millis(20)), UpstreamState::kDraining);
+  agent.OnReport(Millis(30), report);
+  cr_assert_eq(agent.State(Millis(30)), UpstreamState::kDraining,
+               "a repeated report is no sign that it runs");
+  report.sequence = 2;
+  agent.OnReport(Millis(40), report);
+  cr_assert_eq(agent.State(Millis(40)), UpstreamState::kReady);
+  cr_assert(agent.OnLeave("i-7", std::nullopt));
+  report.sequence = 1;
+  report.state = UpstreamState::kDraining;
+  agent.OnReport(Millis(50), report);
+  report.sequence = 3;
+  report.state = UpstreamState::kReady;
+  agent.OnReport(Millis(60), report);
+  cr_assert_eq(agent.State(Millis(60)), UpstreamState::kDraining,
+               "a late report has announced the drain");
+}
+
+// Fails if a report that was delayed brings back an upstream that has drained
+// and left.
+Test(segment_agent, a_departure_after_a_drain_is_final) {
+  SegmentAgent agent = MakeAgent();
+  agent.OnReport(Millis(10), MakeReport(7, 1));
+  agent.OnReport(Millis(20), MakeReport(7, 2, UpstreamState::kDraining));
+  cr_assert(agent.OnLeave("i-7", std::nullopt));
+  cr_assert(agent.OnLeave("i-7", std::nullopt), "a repeated departure");
+  agent.OnReport(Millis(30), MakeReport(7, 3));
+  agent.OnReport(Millis(40), MakeReport(7, 4, UpstreamState::kDraining));
+  cr_assert_eq(agent.State(Millis(40)), UpstreamState::kGone);
+}
+
 // Guards against an upstream that is ignored until its next start: its clock
 // stepped back before it started, or a start that is not its own was reported.
 // A single late report of a crashed start must not revive that start.
