Recover flows of an upstream that started before its agent

Cause: a first report of number 0 or 1 was taken for the first of its start. An upstream that counts from 0 has then sent one that the agent missed, and the agent told every lookup that it does not have the flow. Change: the agent states its own start, and an upstream that started earlier may have flows that the agent does not know, whatever the number of its report. Ruled out: a search after every start of an agent, which passes each lookup of a first start to all upstreams. Test: flows_of_an_upstream_that_counts_from_zero_are_recovered failed with the rule by number alone and passes now.

--- a/include/cornelhill/segment/segment_agent.h
+++ b/include/cornelhill/segment/segment_agent.h
@@ -20,6 +20,8 @@
 namespace cornelhill {
 
 struct SegmentAgentSettings {
+  // Of the agent's process, comparable with those of its upstream's starts.
+  Incarnation incarnation;
   Endpoint address;     // Of the agent's data socket.
   Endpoint upstream;    // Where the upstream receives packets.
   std::string service;  // Name of the service that its upstream belongs to.
@@ -221,6 +223,9 @@
   ReportVerdict OnNewStart(Millis now, const UpstreamReport& next);
   // Applies a further report of the known start.
   ReportVerdict OnKnownStart(Millis now, const UpstreamReport& next);
+  // Returns whether a start may have taken flows before the agent's process
+  // ran.
+  bool MayPrecedeAgent(const UpstreamReport& first) const;
   // Returns whether the known start is over although `next` states an earlier
   // one: the known one is silent, and the other has sent a second report.
   bool OutlivesKnownStart(Millis now, const UpstreamReport& next);
@@ -303,9 +308,8 @@
   bool left_unannounced = false;
   // The last report of a start before the known one.
   std::optional<UpstreamReport> earlier_start;
-  // The first report received was not the first of its upstream, so there may
-  // be open flows that this agent does not know.
-  bool missed_first_report = false;
+  // The known start may have open flows that this agent does not know.
+  bool may_hold_unknown_flows = false;
   Millis reported_at;
   std::unordered_map<SegmentFlow, Flow> flows;
   std::unordered_map<SegmentFlow, UpstreamCheck> upstream_checks;
--- a/src/node/sidecar_role.cc
+++ b/src/node/sidecar_role.cc
@@ -1,4 +1,3 @@
-#include <chrono>
 #include <string>
 #include <utility>
 
@@ -31,9 +30,19 @@
 constexpr int64_t kFirstReportTimeoutTenths = 25;
 constexpr Millis kCountersPeriod{10000};
 
+// A start is stated in Unix time, which may differ between instances by
+// seconds. A report of a start far in the future would hide every later one.
+constexpr Millis kMaxStartAhead{3600000};
+
+// The start of a process that starts now.
+Incarnation StartNow() {
+  return Incarnation(static_cast<uint64_t>(WallNow().Count()));
+}
+
 SegmentAgentSettings AgentSettings(const NodeSettings& settings,
                                    const PlatformFormats& formats) {
   SegmentAgentSettings out;
+  out.incarnation = StartNow();
   out.address = settings.DataAddress();
   out.upstream = *settings.upstream;
   out.service = settings.service;
@@ -47,17 +56,6 @@
   return out;
 }
 
-// A start is stated in Unix time, which may differ between instances by
-// seconds. A report of a start far in the future would hide every later one.
-constexpr std::chrono::hours kMaxStartAhead{1};
-
-uint64_t LatestStart() {
-  const auto latest =
-      (std::chrono::system_clock::now() + kMaxStartAhead).time_since_epoch();
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(latest).count());
-}
-
 class SidecarRole {
  public:
   SidecarRole(const NodeSettings& settings, const PlatformFormats& formats)
@@ -175,7 +173,8 @@
 
   void OnReport(const UpstreamReport& report,
                 const HttpServer::Respond& respond) {
-    if (report.incarnation.Value() > LatestStart()) {
+    if (report.incarnation.Value() >
+        StartNow().Value() + static_cast<uint64_t>(kMaxStartAhead.Count())) {
       this->RefuseReport(report, 400, "start_in_future", respond);
       return;
     }
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -29,8 +29,9 @@
 // Time for the last acknowledgements and retransmissions of a closed flow.
 constexpr Millis kClosedFlowLifetime{4000};
 constexpr Millis kSweepPeriod{1000};
-// Upstreams start to number their reports at 0 or 1.
-constexpr uint64_t kFirstReportSequence = 1;
+// Upstreams start to number their reports at 0 or 1, so a report with a higher
+// number is not the first of its start.
+constexpr uint64_t kMaxFirstReportSequence = 1;
 
 bool IsAfter(uint32_t sequence, uint32_t reference) {
   return static_cast<int32_t>(sequence - reference) > 0;
@@ -77,7 +78,7 @@
     return ReportVerdict::kOtherAddress;
   }
   if (!this->report.has_value()) {
-    this->missed_first_report = next.sequence > kFirstReportSequence;
+    this->may_hold_unknown_flows = this->MayPrecedeAgent(next);
     return this->OnNewStart(now, next);
   }
   if (next.incarnation == this->report->incarnation) {
@@ -87,7 +88,7 @@
       !this->OutlivesKnownStart(now, next)) {
     return ReportVerdict::kEarlierStart;
   }
-  this->missed_first_report = false;
+  this->may_hold_unknown_flows = false;
   this->OnUpstreamRestarted();
   return this->OnNewStart(now, next);
 }
@@ -124,6 +125,13 @@
   return ReportVerdict::kAccepted;
 }
 
+// The agent and its upstream run on one machine and state their starts by the
+// same clock. The number covers a clock that stepped back between the two.
+bool SegmentAgent::MayPrecedeAgent(const UpstreamReport& first) const {
+  return first.incarnation <= this->settings.incarnation ||
+         first.sequence > kMaxFirstReportSequence;
+}
+
 // A start is stated in Unix time, which can step back between two starts, and a
 // start that is not the upstream's may have been reported. Reports of a crashed
 // start that a partition delayed also arrive while no other start is heard, so
@@ -167,7 +175,7 @@
 }
 
 bool SegmentAgent::Recovering(Millis now) const {
-  return this->missed_first_report &&
+  return this->may_hold_unknown_flows &&
          now - this->started < this->settings.flow_lifetime &&
          this->State(now) != UpstreamState::kUnknown;
 }
--- a/tests/segment/segment_agent_test.cc
+++ b/tests/segment/segment_agent_test.cc
@@ -235,6 +235,40 @@
   cr_assert(ClaimsUnknownFlow(&agent, true, 60));
 }
 
+// An agent whose process started as the eighth of all starts on its machine.
+SegmentAgent MakeRestartedAgent() {
+  SegmentAgentSettings settings;
+  settings.incarnation = Incarnation(8);
+  settings.address = AgentAt(0);
+  settings.upstream = kUpstream;
+  settings.service = "stream";
+  settings.format = text_format::Format();
+  return {std::move(settings), Millis(0)};
+}
+
+// Guards against resets of open flows after a restart of their agent within the
+// first reporting period of an upstream that numbers its reports from 0: the
+// report with number 1 was taken for the first of its start.
+Test(segment_agent, flows_of_an_upstream_that_counts_from_zero_are_recovered) {
+  for (const uint64_t first_heard : {0, 1}) {
+    SegmentAgent agent = MakeRestartedAgent();
+    agent.OnReport(Millis(1000), MakeReport(7, first_heard));
+    cr_assert(ClaimsUnknownFlow(&agent, true, 60));
+  }
+}
+
+// Fails if an agent searches for flows that cannot exist: its upstream started
+// after it, so the agent has accepted each flow itself.
+Test(segment_agent, a_start_after_the_agent_holds_no_unknown_flow) {
+  SegmentAgent agent = MakeRestartedAgent();
+  agent.OnReport(Millis(1000), MakeReport(9, 1));
+  cr_assert_not(ClaimsUnknownFlow(&agent, true, 60));
+  SegmentAgent restarted_upstream = MakeRestartedAgent();
+  restarted_upstream.OnReport(Millis(1000), MakeReport(7, 50));
+  restarted_upstream.OnReport(Millis(1100), MakeReport(9, 1));
+  cr_assert_not(ClaimsUnknownFlow(&restarted_upstream, true, 60));
+}
+
 // Fails if a caller is left waiting after a restart of the upstream, or if a
 // flow is reset although the upstream has not restarted.
 Test(segment_agent, a_returned_flow_is_reset_only_after_a_new_start) {
