Judge each start of an upstream by itself after a restart of its agent

Cause: a report of a later start after one of an earlier start counted as a start that the agent had seen begin, which ended its search for unknown flows. Change: whether a start may have unknown flows follows from its own first report alone. Test: a_late_report_after_a_restart_does_not_end_the_recovery failed with the former rule and passes now.

--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -77,10 +77,7 @@
   if (next.address != this->settings.upstream) {
     return ReportVerdict::kOtherAddress;
   }
-  if (!this->report.has_value()) {
-    this->may_hold_unknown_flows = this->MayPrecedeAgent(next);
-    return this->OnNewStart(now, next);
-  }
+  if (!this->report.has_value()) return this->OnNewStart(now, next);
   if (next.incarnation == this->report->incarnation) {
     return this->OnKnownStart(now, next);
   }
@@ -88,7 +85,6 @@
       !this->OutlivesKnownStart(now, next)) {
     return ReportVerdict::kEarlierStart;
   }
-  this->may_hold_unknown_flows = false;
   this->OnUpstreamRestarted();
   return this->OnNewStart(now, next);
 }
@@ -96,6 +92,7 @@
 ReportVerdict SegmentAgent::OnNewStart(Millis now, const UpstreamReport& next) {
   this->earlier_start.reset();
   this->left_unannounced = false;
+  this->may_hold_unknown_flows = this->MayPrecedeAgent(next);
   this->report = next;
   this->reported_at = now;
   this->upstream_last_heard = now;
--- a/tests/segment/segment_agent_test.cc
+++ b/tests/segment/segment_agent_test.cc
@@ -257,6 +257,16 @@
   }
 }
 
+// Guards against resets of open flows after a restart of their agent that first
+// hears a late report of a crashed start: the next report, of the running
+// start, ended the search for flows.
+Test(segment_agent, a_late_report_after_a_restart_does_not_end_the_recovery) {
+  SegmentAgent agent = MakeRestartedAgent();
+  agent.OnReport(Millis(1000), MakeReport(6, 90));
+  agent.OnReport(Millis(1100), MakeReport(7, 5));
+  cr_assert(ClaimsUnknownFlow(&agent, true, 60));
+}
+
 // Fails if an agent searches for flows that cannot exist: its upstream started
 // after it, so the agent has accepted each flow itself.
 Test(segment_agent, a_start_after_the_agent_holds_no_unknown_flow) {
