Refuse texts that go on after a zero byte

Cause: the JSON library takes a zero byte for the end of the text; inet_pton does the same inside an address. Change: ParseJsonDocument and ParseEndpoint refuse zero bytes. All readers of documents from outside use them: configurations, reports, departures, settings, declarations. The soak sends such configurations. Why it works: what remains is a text without the byte, of which the parser reads every character. Tests: listener_format.rejects_documents_with_zero_bytes, api_format.rejects_bodies_with_zero_bytes, node_settings.rejects_zero_bytes, refusals.a_zero_byte_is_refused_with_its_position and flow_key.rejects_malformed_endpoints each failed before and pass now.

--- a/src/base/flow_key.cc
+++ b/src/base/flow_key.cc
@@ -42,7 +42,10 @@
                     "\" is not of the form IPV4:PORT, e.g. 127.0.0.1:7000");
   };
   const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return invalid();
+  // `inet_pton` ends at a zero byte.
+  if (colon == std::string::npos || text.find('\0') != std::string::npos) {
+    return invalid();
+  }
   in_addr parsed{};
   if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed) != 1) {
     return invalid();
--- a/src/config/node_settings.cc
+++ b/src/config/node_settings.cc
@@ -7,6 +7,8 @@
 #include <sstream>
 #include <utility>
 
+#include "cornelhill/config/json_document.h"
+
 namespace cornelhill {
 
 namespace {
@@ -162,13 +164,13 @@
 }  // namespace
 
 bool IsNodeSettings(std::string_view text) {
-  const Json document = Json::parse(text, nullptr, /*allow_exceptions=*/false);
+  const Json document = ParseJsonDocument(text);
   return document.is_object() && document.contains("platform");
 }
 
 Result<NodeSettings> ParseNodeSettings(std::string_view text,
                                        const std::string& file) {
-  const Json document = Json::parse(text, nullptr, /*allow_exceptions=*/false);
+  const Json document = ParseJsonDocument(text);
   if (!document.is_object()) {
     return Fail(ErrorCode::kMalformed, file + ": not a JSON object");
   }
--- a/src/config/schema_checker.cc
+++ b/src/config/schema_checker.cc
@@ -15,6 +15,7 @@
 #include <valijson/validator.hpp>
 
 #include "cornelhill/base/flow_key.h"
+#include "cornelhill/config/json_document.h"
 
 namespace cornelhill {
 
@@ -183,6 +184,12 @@
 
 Result<Json> ParseJson(std::string_view text, const std::string& file) {
   ParseGuard guard;
+  const size_t zero_byte = FindZeroByte(text);
+  if (zero_byte != text.npos) {
+    return MakeError(file, Position(text, zero_byte + 1) +
+                               ": a zero byte; expected an object in JSON "
+                               "syntax");
+  }
   try {
     Json document = Json::parse(
         text, [&guard](int depth, Json::parse_event_t event, Json& parsed) {
--- a/tests/base/flow_key_test.cc
+++ b/tests/base/flow_key_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <string>
+
 namespace cornelhill {
 namespace {
 
@@ -21,6 +23,8 @@
                            "127.0.0.1:80x", "localhost:80", "1.2.3:4"}) {
     cr_assert_not(ParseEndpoint(text).has_value(), "%s was accepted", text);
   }
+  const std::string zero(1, '\0');
+  cr_assert_not(ParseEndpoint("127.0.0.1" + zero + "x:80").has_value());
 }
 
 // Guards against a bucket that depends on anything but the key: balancers and
--- a/tests/config/node_settings_test.cc
+++ b/tests/config/node_settings_test.cc
@@ -35,6 +35,12 @@
   cr_assert_not(IsNodeSettings(R"({"role":"agent"})"));
 }
 
+// Fails if the rest of a file after a zero byte is ignored without an error.
+Test(node_settings, rejects_zero_bytes) {
+  const std::string text = Sidecar().dump() + std::string(1, '\0') + "rest";
+  cr_assert_not(ParseNodeSettings(text, "side.json").has_value());
+}
+
 // Guards against processes that do not start where the platform states a bound
 // as a fraction.
 Test(node_settings, durations_in_seconds_may_be_fractions) {
--- a/tests/config/refusals_test.cc
+++ b/tests/config/refusals_test.cc
@@ -54,6 +54,15 @@
   ExpectGoldenFile(kGolden, actual + "]\n");
 }
 
+// Fails if the rest of a text after a zero byte is ignored without an error.
+Test(refusals, a_zero_byte_is_refused_with_its_position) {
+  const std::string text = "{}\n" + std::string(1, '\0') + "{}";
+  const std::string message = Message(false, text);
+  cr_assert_str_eq(message.c_str(),
+                   "FILE: line 2, column 1: a zero byte; expected an object "
+                   "in JSON syntax");
+}
+
 // Guards against unbounded memory for the violations of a long list, and
 // against messages as long as the refused value.
 Test(refusals, large_values_are_refused_in_one_short_line) {
--- a/tests/platform/api_format_test.cc
+++ b/tests/platform/api_format_test.cc
@@ -101,6 +101,16 @@
   }
 }
 
+// Guards against taking a text that goes on after a zero byte for a report or a
+// departure: it can't be read as a whole.
+Test(api_format, rejects_bodies_with_zero_bytes) {
+  const std::string rest = std::string(1, '\0') + "rest";
+  cr_assert(std::holds_alternative<ApiErrorResponse>(
+      Read("PUT", "/-/instances/i-7", kReport + rest)));
+  cr_assert(std::holds_alternative<ApiErrorResponse>(
+      Read("DELETE", "/-/instances/i-7", R"({"born":99})" + rest)));
+}
+
 // Guards against accepting a malformed heartbeat, or one that another program
 // wrote, as the report of an upstream.
 Test(api_format, rejects_malformed_reports) {
--- a/tests/platform/listener_format_test.cc
+++ b/tests/platform/listener_format_test.cc
@@ -94,6 +94,22 @@
   }
 }
 
+// Guards against acknowledging and then serving a text that no reader of JSON
+// accepts: the parser takes a zero byte for the end of the text, and an address
+// was read up to one.
+Test(listener_format, rejects_documents_with_zero_bytes) {
+  const ListenerFormat& format =
+      *ListenerFormatRegistry::Global().Find("platform");
+  const std::string whole = Document().dump();
+  const std::string zero(1, '\0');
+  cr_assert_not(format.read(whole + zero).has_value());
+  cr_assert_not(format.read(whole + zero + "rest").has_value());
+  cr_assert_not(format.read(whole + "\n" + zero + whole).has_value());
+  Json document = Document();
+  document["routes"][0]["host"] = "198.18.0.1" + zero + "x";
+  cr_assert_not(Read(document).has_value());
+}
+
 // Guards against accepting a document that was truncated in transit, and
 // against crashes on corrupted bytes.
 Test(listener_format, rejects_truncated_and_survives_corrupted_documents) {
--- a/tools/soak/configurations.cc
+++ b/tools/soak/configurations.cc
@@ -63,13 +63,16 @@
   Json& routes = document["routes"];
   Json added =
       platform::RouteDocument({this->listener, kUnroutedPort, "alpha", 1000});
-  switch (this->random.Below(6)) {
+  switch (this->random.Below(7)) {
     case 0:
       out.document.resize(out.document.size() / 2);
       return out;
     case 1:
       out.document = std::string(100000, '[');
       return out;
+    case 6:
+      out.document += std::string(1, '\0') + "rest";
+      return out;
     case 2:
       routes.push_back(added);
       break;
