Let a restarted agent recover flows before its upstream's first report

Cause: until the first report of its upstream, up to 1.2 s after its start, an agent answered each packet of a flow with "not held" and no probe at all. Change: an agent passes packets of unknown flows to its upstream from its start on. Ruled out as the cause: agents that were down (about 0.1 s each). Test: a_restarted_agent_finds_its_flows_before_the_first_report failed before. an_agent_without_an_upstream_does_not_prevent_a_reset is corrected: it is about an upstream that has stopped, but its stand-in went on to return packets, which the agent now takes as the answer that it is. The stand-in is silent now; both checks stand, and the first one waits 500 ms longer.

--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -172,8 +172,12 @@
 }
 
 bool SegmentAgent::Recovering(Millis now) const {
+  const Millis running = now - this->started;
+  if (!this->report.has_value()) {
+    return running <= this->settings.first_report_timeout;
+  }
   return this->may_hold_unknown_flows &&
-         now - this->started < this->settings.flow_lifetime &&
+         running < this->settings.flow_lifetime &&
          this->State(now) != UpstreamState::kUnknown;
 }
 
@@ -383,11 +387,7 @@
     return;
   }
   if (is_probe) {
-    const Millis running = now - this->started;
-    if (this->report.has_value() ||
-        running > this->settings.first_report_timeout) {
-      this->ReplyProbeNotHeld(now, flow, from, out);
-    }
+    this->ReplyProbeNotHeld(now, flow, from, out);
     return;
   }
   this->ReplyNotHeld(now, from, std::move(message.datagram), out);
