Let a running upstream replace a silent writer of a later number or other ID

Cause: a report with the upstream's start but a number far above its own, or with another ID, made the agent take every later report of the upstream as outdated or foreign until its next start. Change: the rule for an earlier start holds for numbers and IDs too: once the sender of the last report has been silent for 3.5 heartbeats, the second of two earlier reports that go on replaces it. A drain stays in force throughout. Test: an_upstream_that_goes_on_replaces_a_silent_writer; under the former rule both of its cases would stay outdated (kOutdated and kOtherUpstream had no way back). The soak's zero-byte configuration moves to the end of its list of cases.

--- a/include/cornelhill/segment/segment_agent.h
+++ b/include/cornelhill/segment/segment_agent.h
@@ -226,9 +226,10 @@
   // Returns whether a start may have taken flows before the agent's process
   // ran.
   bool MayPrecedeAgent(const UpstreamReport& first) const;
-  // Returns whether the known start is over although `next` states an earlier
-  // one: the known one is silent, and the other has sent a second report.
-  bool OutlivesKnownStart(Millis now, const UpstreamReport& next);
+  // Returns whether `next`, which is earlier than the last report by its start
+  // or number, replaces it: the sender of the last one is silent, and this one
+  // goes on.
+  bool OutlivesLastReport(Millis now, const UpstreamReport& next);
 
   void OnLookup(Millis now, const Endpoint& from, SegmentMessage message,
                 const Segment& segment, SegmentAgentOutput* out);
@@ -307,8 +308,8 @@
   std::optional<UpstreamReport> report;
   // The upstream is said to have left without having drained.
   bool left_unannounced = false;
-  // The last report of a start before the known one.
-  std::optional<UpstreamReport> earlier_start;
+  // The last report that was earlier than `report` by its start or number.
+  std::optional<UpstreamReport> earlier_report;
   // The known start may have open flows that this agent does not know.
   bool may_hold_unknown_flows = false;
   Millis reported_at;
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -78,19 +78,21 @@
     return ReportVerdict::kOtherAddress;
   }
   if (!this->report.has_value()) return this->OnNewStart(now, next);
-  if (next.incarnation == this->report->incarnation) {
+  const bool same_start = next.incarnation == this->report->incarnation;
+  if (same_start && next.id == this->report->id) {
     return this->OnKnownStart(now, next);
   }
-  if (next.incarnation < this->report->incarnation &&
-      !this->OutlivesKnownStart(now, next)) {
-    return ReportVerdict::kEarlierStart;
+  if (next.incarnation <= this->report->incarnation &&
+      !this->OutlivesLastReport(now, next)) {
+    return same_start ? ReportVerdict::kOtherUpstream
+                      : ReportVerdict::kEarlierStart;
   }
   this->OnUpstreamRestarted();
   return this->OnNewStart(now, next);
 }
 
 ReportVerdict SegmentAgent::OnNewStart(Millis now, const UpstreamReport& next) {
-  this->earlier_start.reset();
+  this->earlier_report.reset();
   this->left_unannounced = false;
   this->may_hold_unknown_flows = this->MayPrecedeAgent(next);
   this->report = next;
@@ -102,7 +104,6 @@
 ReportVerdict SegmentAgent::OnKnownStart(Millis now,
                                          const UpstreamReport& next) {
   UpstreamReport& last = *this->report;
-  if (next.id != last.id) return ReportVerdict::kOtherUpstream;
   const bool starts_to_drain =
       next.state == UpstreamState::kDraining &&
       (last.state == UpstreamState::kReady || this->left_unannounced);
@@ -111,7 +112,7 @@
     this->left_unannounced = false;
     last.state = next.state;
   }
-  if (next.sequence < last.sequence) {
+  if (next.sequence < last.sequence && !this->OutlivesLastReport(now, next)) {
     return starts_to_drain ? ReportVerdict::kAccepted
                            : ReportVerdict::kOutdated;
   }
@@ -130,15 +131,15 @@
 }
 
 // A start is stated in Unix time, which can step back between two starts, and a
-// start that is not the upstream's may have been reported. Reports of a crashed
-// start that a partition delayed also arrive while no other start is heard, so
-// one report is not enough.
-bool SegmentAgent::OutlivesKnownStart(Millis now, const UpstreamReport& next) {
+// start or a number that is not the upstream's may have been reported. Reports
+// that a partition delayed also arrive while nothing else is heard, so one
+// report is not enough.
+bool SegmentAgent::OutlivesLastReport(Millis now, const UpstreamReport& next) {
   const bool heard_before =
-      this->earlier_start.has_value() && this->earlier_start->id == next.id &&
-      this->earlier_start->incarnation == next.incarnation &&
-      this->earlier_start->sequence < next.sequence;
-  this->earlier_start = next;
+      this->earlier_report.has_value() && this->earlier_report->id == next.id &&
+      this->earlier_report->incarnation == next.incarnation &&
+      this->earlier_report->sequence < next.sequence;
+  this->earlier_report = next;
   return heard_before &&
          now - this->reported_at > this->settings.report_timeout;
 }
--- a/tests/segment/segment_agent_test.cc
+++ b/tests/segment/segment_agent_test.cc
@@ -177,6 +177,25 @@
   cr_assert_eq(agent.State(Millis(4100)), UpstreamState::kUnknown);
 }
 
+// Guards against an upstream that is ignored until its next start because a
+// number far above its own, or another ID, was reported for its start.
+Test(segment_agent, an_upstream_that_goes_on_replaces_a_silent_writer) {
+  for (const bool other_id : {false, true}) {
+    SegmentAgent agent = MakeAgent();
+    UpstreamReport foreign = MakeReport(7, 1000000);
+    if (other_id) foreign.id = "i-odd";
+    agent.OnReport(Millis(10), foreign);
+    cr_assert_neq(agent.OnReport(Millis(4000), MakeReport(7, 4)),
+                  ReportVerdict::kAccepted);
+    cr_assert_eq(agent.State(Millis(4500)), UpstreamState::kUnknown);
+    cr_assert_eq(agent.OnReport(Millis(5000), MakeReport(7, 5)),
+                 ReportVerdict::kAccepted);
+    cr_assert_eq(agent.State(Millis(5000)), UpstreamState::kReady);
+    agent.OnReport(Millis(6000), MakeReport(7, 6, UpstreamState::kDraining));
+    cr_assert_eq(agent.State(Millis(6000)), UpstreamState::kDraining);
+  }
+}
+
 // An agent that was restarted beside an upstream with flows.
 SegmentAgent MakeRecoveringAgent() {
   SegmentAgent agent = MakeAgent();
--- a/tools/soak/configurations.cc
+++ b/tools/soak/configurations.cc
@@ -70,9 +70,6 @@
     case 1:
       out.document = std::string(100000, '[');
       return out;
-    case 6:
-      out.document += std::string(1, '\0') + "rest";
-      return out;
     case 2:
       routes.push_back(added);
       break;
@@ -82,6 +79,9 @@
     case 4:
       added[platform::RouteTimeoutField()] = 0;
       break;
+    case 5:
+      out.document += std::string(1, '\0') + "rest";
+      return out;
     default:
       added[platform::RoutePortField()] = "/70000/";
   }
