Revert "Let a restarted agent recover flows before its upstream's first report"

Callers' open flows were reset from new instances whose upstream had not started: the agent passed packets of unknown flows to it before its first report. No flow_lost was logged, so the resets came from there and not from the agent; how they arise is not traced to the end.

--- a/include/cornelhill/segment/segment_agent.h
+++ b/include/cornelhill/segment/segment_agent.h
@@ -261,7 +261,6 @@
   void SetBusy(Flow* flow, bool is_busy);
   void RemoveFlow(const SegmentFlow& flow);
   static bool IsOpen(const Flow& flow, Millis now);
-  // Returns whether the upstream may have flows that this agent does not know.
   bool Recovering(Millis now) const;
   Millis FirstReplyTimeout() const;
   // Time after which a request without an answer no longer counts as busy.
--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -61,12 +61,8 @@
 }
 
 bool SegmentAgent::Recovering(Millis now) const {
-  const Millis running = now - this->started;
-  if (!this->report.has_value()) {
-    return running <= this->settings.first_report_timeout;
-  }
   return this->may_hold_unknown_flows &&
-         running < this->settings.flow_lifetime &&
+         now - this->started < this->settings.flow_lifetime &&
          this->State(now) != UpstreamState::kUnknown;
 }
 
@@ -276,7 +272,11 @@
     return;
   }
   if (is_probe) {
-    this->ReplyProbeNotHeld(now, flow, from, out);
+    const Millis running = now - this->started;
+    if (this->report.has_value() ||
+        running > this->settings.first_report_timeout) {
+      this->ReplyProbeNotHeld(now, flow, from, out);
+    }
     return;
   }
   this->ReplyNotHeld(now, from, std::move(message.datagram), out);
