Hand back a claimed flow that its upstream returns

Cause: an agent that claimed a flow under a late report of an earlier start reset it when its upstream returned a later packet: the flow's start was not the known one. The flow may be another upstream's. Change: only flows that the agent has accepted itself count as lost by a restart; claimed ones go back to the balancer, which searches for the owner. Test: a_claimed_flow_that_is_returned_is_handed_back failed before and passes now. No caller was seen to suffer from it.

--- a/src/segment/segment_agent.cc
+++ b/src/segment/segment_agent.cc
@@ -435,7 +435,10 @@
   const auto found = this->flows.find(flow);
   if (found == this->flows.end()) return;
   const Flow entry = found->second;
-  const bool lost = this->report.has_value() &&
+  // A flow that was adopted may be another upstream's, and the start that was
+  // known then need not be the one that took it.
+  const bool accepted_here = entry.first_sequence_known;
+  const bool lost = accepted_here && this->report.has_value() &&
                     entry.incarnation != this->report->incarnation;
   this->RemoveFlow(flow);
   AgentDecision decision{AgentDecisionKind::kFlowReturned, flow};
--- a/tests/segment/segment_agent_test.cc
+++ b/tests/segment/segment_agent_test.cc
@@ -298,6 +298,23 @@
   cr_assert_not(ClaimsUnknownFlow(&restarted_upstream, true, 60));
 }
 
+// Guards against resets of open flows of other upstreams: an agent that had
+// claimed a flow under a late report of an earlier start took the packet that
+// its upstream returned later for a flow of that start.
+Test(segment_agent, a_claimed_flow_that_is_returned_is_handed_back) {
+  SegmentAgent agent = MakeRestartedAgent();
+  agent.OnReport(Millis(1000), MakeReport(6, 90));
+  cr_assert(ClaimsUnknownFlow(&agent, true, 60));
+  agent.OnReport(Millis(2100), MakeReport(7, 5));
+  Segment returned = DataPacket(CallerAt(1));
+  returned.returned = true;
+  SegmentAgentOutput out;
+  agent.OnUpstreamPacket(Millis(2200), text_format::Write(returned), &out);
+  cr_assert(out.callers.empty(), "no reset");
+  cr_assert_eq(out.peers.size(), 1U);
+  cr_assert_eq(out.peers[0].message.kind, SegmentMessageKind::kNotHeld);
+}
+
 // Fails if a caller is left waiting after a restart of the upstream, or if a
 // flow is reset although the upstream has not restarted.
 Test(segment_agent, a_returned_flow_is_reset_only_after_a_new_start) {
