Show that copies of first packets follow a replaced configuration

A copy of a known first packet skips the listeners, and the agent skips its check of the listener's version.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin-3"
 mkdir -p bin
-for case in crash_in_roll; do
+for case in crash_in_roll move_in_burst; do
   g++ -std=c++20 -O1 -Wall -Wextra -pthread world.cc "$case.cc" -o "bin/$case"
 done
--- a/review/standin-3/world.cc
+++ b/review/standin-3/world.cc
@@ -414,7 +414,8 @@
     : world(world), ip(ip), socket({ip, world.P().packets}) {}
 
 ClientFlow* Client::Open(uint16_t port, const Address& service,
-                         std::vector<int64_t> request_times, int64_t work_ms) {
+                         std::vector<int64_t> request_times, int64_t work_ms,
+                         Process* entry) {
   auto flow = std::make_unique<ClientFlow>();
   flow->own = {this->ip, port};
   flow->service = service;
@@ -423,14 +424,21 @@
   flow->started = Now();
   flow->request_times = std::move(request_times);
   flow->work_ms = work_ms;
-  flow->copies = 1;
+  flow->fixed_entry = entry;
   ClientFlow* const out = flow.get();
   this->by_port[port] = out;
   this->flows.push_back(std::move(flow));
-  this->Send(out, kSyn, out->first_seq, 0, {});
+  this->SendFirst(out);
   return out;
 }
 
+void Client::SendFirst(ClientFlow* flow) {
+  const int copy = flow->copies++;
+  this->Send(flow, kSyn, flow->first_seq, static_cast<uint32_t>(copy), {});
+  flow->copy_sent[copy] = Now();
+  flow->copy_entry[copy] = flow->last_entry;
+}
+
 void Client::Send(ClientFlow* flow, uint8_t flags, uint32_t seq, uint32_t ack,
                   const std::string& data) {
   Packet out;
@@ -440,7 +448,9 @@
   out.seq = seq;
   out.ack = ack;
   out.data = data;
-  Process* const entry = this->world.Route(flow->own, flow->service);
+  Process* const entry = flow->fixed_entry != nullptr
+                             ? flow->fixed_entry
+                             : this->world.Route(flow->own, flow->service);
   if (entry == nullptr) return;
   if (entry->name != flow->last_entry) {
     this->world.Out().Line("router hands " + Text(flow->own) + " to " +
@@ -543,9 +553,7 @@
     if (flow->state == ClientFlow::kOpening) {
       if ((flow->copies == 1 && age >= 200) ||
           (flow->copies == 2 && age >= 600)) {
-        this->Send(flow, kSyn, flow->first_seq,
-                   static_cast<uint32_t>(flow->copies), {});
-        ++flow->copies;
+        this->SendFirst(flow);
       }
       if (age > 1400) {
         flow->state = ClientFlow::kEnded;
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -204,8 +204,11 @@
   int64_t retransmit_at = 0;
   int64_t interval = 200;
   std::string input;
+  Process* fixed_entry = nullptr;
   std::string last_entry;    // The daemon that took the last packet.
-  std::string opened_by;     // The daemon that took the first packet's copy.
+  // When each copy of the first packet was sent, and through which daemon.
+  int64_t copy_sent[3] = {-1, -1, -1};
+  std::string copy_entry[3];
   int64_t reset_at = -1;     // When a reset in the window arrived.
   std::string end;           // Why the flow ended.
 };
@@ -215,8 +218,10 @@
  public:
   Client(World& world, uint32_t ip);
   // Opens a flow; returns it. The flow lives as long as the client.
+  // With `entry`, all its packets go to that daemon.
   ClientFlow* Open(uint16_t port, const Address& service,
-                   std::vector<int64_t> request_times, int64_t work_ms);
+                   std::vector<int64_t> request_times, int64_t work_ms,
+                   Process* entry = nullptr);
   void OnReadable();
   void Tick();
   int Descriptor() const { return this->socket.Descriptor(); }
@@ -228,6 +233,7 @@
   void Send(ClientFlow* flow, uint8_t flags, uint32_t seq, uint32_t ack,
             const std::string& data);
   void OnPacket(const Packet& packet);
+  void SendFirst(ClientFlow* flow);
   void SendRequest(ClientFlow* flow);
 
   World& world;
