--- a/review/standin-3/crash_in_roll.cc
+++ b/review/standin-3/crash_in_roll.cpp
@@ -7,7 +7,7 @@
 #include <cstdlib>
 #include <string>
 
-#include "world.h"
+#include "world.hpp"
 
 using namespace review;
 
@@ -78,8 +78,8 @@
     if (flow->answered == 2) ++out.served_twice;
     if (flow->reset_at < 0) continue;
     ++out.broken;
-    world.Out().Line("FLOW broken: " + Text(flow->own) +
-                     " is open at server " + found->second +
+    world.Out().Line("FLOW broken: " + Text(flow->own) + " is open at server " +
+                     found->second +
                      ", which lives and has sent no reset, and was reset; its "
                      "last packet went through " +
                      flow->last_entry);
--- a/review/standin-3/move_in_burst.cc
+++ b/review/standin-3/move_in_burst.cpp
@@ -6,7 +6,7 @@
 #include <cstdlib>
 #include <string>
 
-#include "world.h"
+#include "world.hpp"
 
 using namespace review;
 
@@ -101,8 +101,8 @@
                        "through it");
     }
   }
-  world.Out().Line("flows: " + std::to_string(port - 2000) + ", served: " +
-                   std::to_string(served) +
+  world.Out().Line("flows: " + std::to_string(port - 2000) +
+                   ", served: " + std::to_string(served) +
                    ", broken: " + std::to_string(broken));
   if (served == 0) return 2;
   return broken > 0 ? 1 : 0;
--- a/review/standin-3/world.cc
+++ b/review/standin-3/world.cpp
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "world.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -223,9 +223,7 @@
     this->born = UnixMs();
     this->sequence = 0;
   }
-  this->started = Now();
-  this->socket =
-      std::make_unique<Udp>(Address{this->ip, this->world.P().app});
+  this->socket = std::make_unique<Udp>(Address{this->ip, this->world.P().app});
   this->reporting = true;
   this->world.Out().Line("server " + this->name + " starts as " + this->id);
 }
@@ -258,10 +256,10 @@
     }
     const HttpReply reply = HttpCall({this->ip, this->world.P().control}, "PUT",
                                      target, body.str(), 1000);
-    if (reply.status / 100 == 2) this->last_acknowledged = Now();
     this->world.Out().Line("heartbeat " + target + " -> " +
                            std::to_string(reply.status));
-    for (int i = 0; i < 120 && this->reporting && !this->ended; ++i) SleepMs(10);
+    for (int i = 0; i < 120 && this->reporting && !this->ended; ++i)
+      SleepMs(10);
   }
 }
 
@@ -388,8 +386,9 @@
     Flow& flow = found->second;
     const std::string body = "answer to " + job.id;
     flow.unacked = "HTTP/1.1 200 OK\r\nX-Cornelhill-Response-Signature: s-" +
-                   job.id + "\r\nContent-Length: " +
-                   std::to_string(body.size()) + "\r\n\r\n" + body;
+                   job.id +
+                   "\r\nContent-Length: " + std::to_string(body.size()) +
+                   "\r\n\r\n" + body;
     flow.unacked_seq = flow.next_out;
     flow.next_out += static_cast<uint32_t>(flow.unacked.size());
     flow.interval = 200;
@@ -485,11 +484,10 @@
     flow->end = flow->state == ClientFlow::kOpen ? "reset while open"
                                                  : "reset while opening";
     flow->state = ClientFlow::kEnded;
-    this->world.Out().Line("client " + Text(flow->own) + ": " + flow->end +
-                           ", sum " + std::to_string(packet.sum) +
-                           (flow->waiting_id.empty()
-                                ? ""
-                                : ", waits for " + flow->waiting_id));
+    this->world.Out().Line(
+        "client " + Text(flow->own) + ": " + flow->end + ", sum " +
+        std::to_string(packet.sum) +
+        (flow->waiting_id.empty() ? "" : ", waits for " + flow->waiting_id));
     return;
   }
   if (flow->state == ClientFlow::kOpening) {
@@ -530,8 +528,8 @@
 }
 
 void Client::SendRequest(ClientFlow* flow) {
-  flow->waiting_id = std::to_string(flow->own.port) + "-" +
-                     std::to_string(flow->next_request);
+  flow->waiting_id =
+      std::to_string(flow->own.port) + "-" + std::to_string(flow->next_request);
   ++flow->next_request;
   flow->unacked = "GET /w/" + std::to_string(flow->work_ms) +
                   " HTTP/1.1\r\nX-Cornelhill-Request-Id: " + flow->waiting_id +
@@ -594,10 +592,13 @@
     bool free = true;
     for (uint16_t i = 0; i < 24; ++i) {
       const Address address{this->Ip(1), static_cast<uint16_t>(first + i)};
-      free = free && IsFree(address, SOCK_STREAM) && IsFree(address, SOCK_DGRAM);
+      free =
+          free && IsFree(address, SOCK_STREAM) && IsFree(address, SOCK_DGRAM);
     }
     if (!free) continue;
-    const auto port = [first](int i) { return static_cast<uint16_t>(first + i); };
+    const auto port = [first](int i) {
+      return static_cast<uint16_t>(first + i);
+    };
     this->ports = {port(0), port(1), port(2), port(3), port(4), port(5)};
     break;
   }
@@ -625,7 +626,8 @@
 uint32_t World::Random() {
   static std::mutex mutex;
   const std::lock_guard lock(mutex);
-  this->random_state = this->random_state * 6364136223846793005ULL + 1442695040888963407ULL;
+  this->random_state =
+      this->random_state * 6364136223846793005ULL + 1442695040888963407ULL;
   return static_cast<uint32_t>(this->random_state >> 32);
 }
 
@@ -659,8 +661,8 @@
   process->zone = zone;
   process->service = service;
   process->ip = this->Ip(this->next_host++);
-  this->servers.push_back(std::make_unique<Server>(*this, name, service,
-                                                   process->ip, zone, slots));
+  this->servers.push_back(
+      std::make_unique<Server>(*this, name, service, process->ip, zone, slots));
   this->processes.push_back(std::move(process));
   return this->servers.back().get();
 }
@@ -686,7 +688,9 @@
     seeds += Quote(Text(Address{other->ip, this->ports.control}));
   }
   seeds += "]";
-  const auto at = [&](uint16_t port) { return Text(Address{process.ip, port}); };
+  const auto at = [&](uint16_t port) {
+    return Text(Address{process.ip, port});
+  };
   const std::string folder = this->temporary + "/" + process.name;
   const std::map<std::string, std::string> values = {
       {"node_name|json", Quote(process.name)},
@@ -752,7 +756,8 @@
 
 void World::Signal(Process* process, int signal) {
   if (process->pid > 0) kill(process->pid, signal);
-  this->record.Line("signal " + std::to_string(signal) + " to " + process->name);
+  this->record.Line("signal " + std::to_string(signal) + " to " +
+                    process->name);
 }
 
 bool World::HasEnded(Process* process) {
@@ -788,8 +793,8 @@
       if (missed == 0) is_in = true;
       if (missed >= 2) is_in = false;
       if (before != is_in) {
-        this->record.Line(process->name +
-                          (is_in ? " joins the rotation" : " leaves the rotation"));
+        this->record.Line(process->name + (is_in ? " joins the rotation"
+                                                 : " leaves the rotation"));
       }
       const std::lock_guard lock(this->rotation_mutex);
       this->rotation.clear();
@@ -811,8 +816,8 @@
 Process* World::Route(const Address& client, const Address& service) {
   const std::lock_guard lock(this->rotation_mutex);
   if (this->rotation.empty()) return nullptr;
-  uint64_t hash = uint64_t{client.ip} << 32 | uint64_t{client.port} << 16 |
-                  service.port;
+  uint64_t hash =
+      uint64_t{client.ip} << 32 | uint64_t{client.port} << 16 | service.port;
   hash = (hash ^ service.ip) * 0x9E3779B97F4A7C15ULL;
   hash ^= hash >> 29;
   return this->rotation[hash % this->rotation.size()];
@@ -833,10 +838,10 @@
       if (reply.status != 307) break;
       const size_t host = reply.location.find("//") + 2;
       const size_t colon = reply.location.find(':', host);
-      to.ip = ntohl(inet_addr(
-          reply.location.substr(host, colon - host).c_str()));
-      to.port = static_cast<uint16_t>(
-          std::atoi(reply.location.c_str() + colon + 1));
+      to.ip =
+          ntohl(inet_addr(reply.location.substr(host, colon - host).c_str()));
+      to.port =
+          static_cast<uint16_t>(std::atoi(reply.location.c_str() + colon + 1));
     }
     this->record.Line("PUT /-/config -> " + std::to_string(reply.status) +
                       " by " + Text(to));
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.hpp
@@ -107,7 +107,8 @@
 
 class World;
 
-// A server beside a side daemon: keeps flows, runs requests, reports itself.
+// A server beside a side daemon: keeps flows, runs requests, reports itself. It
+// never sends a reset.
 class Server {
  public:
   Server(World& world, std::string name, std::string service, uint32_t ip,
@@ -130,17 +131,12 @@
   const std::string service;
   const uint32_t ip;
   std::atomic<bool> reporting = false;
-  // Time of the last heartbeat that was acknowledged.
-  std::atomic<int64_t> last_acknowledged = -1;
-  // Resets that this server has sent, by flow.
-  std::map<std::pair<Address, Address>, int64_t> resets;
-  int64_t started = 0;  // Of the present incarnation.
 
  private:
   struct Flow {
-    uint32_t own_seq = 0;     // Of the SYN+ACK.
-    uint32_t next_in = 0;     // Next byte that is expected from the client.
-    uint32_t next_out = 0;    // Next byte to send.
+    uint32_t own_seq = 0;   // Of the SYN+ACK.
+    uint32_t next_in = 0;   // Next byte that is expected from the client.
+    uint32_t next_out = 0;  // Next byte to send.
     bool open = false;
     bool client_closed = false;
     std::string input;
@@ -205,12 +201,12 @@
   int64_t interval = 200;
   std::string input;
   Process* fixed_entry = nullptr;
-  std::string last_entry;    // The daemon that took the last packet.
+  std::string last_entry;  // The daemon that took the last packet.
   // When each copy of the first packet was sent, and through which daemon.
   int64_t copy_sent[3] = {-1, -1, -1};
   std::string copy_entry[3];
-  int64_t reset_at = -1;     // When a reset in the window arrived.
-  std::string end;           // Why the flow ended.
+  int64_t reset_at = -1;  // When a reset in the window arrived.
+  std::string end;        // Why the flow ended.
 };
 
 // A client address with many flows.
@@ -307,8 +303,6 @@
   std::vector<std::unique_ptr<Server>> servers;
   std::vector<std::unique_ptr<Client>> clients;
   std::vector<std::unique_ptr<Process>> processes;
-  // Whether the case goes on; cleared if it could not be set up.
-  bool usable = true;
 
  private:
   void WriteSettings(const Process& process);
